quarantine: refuse requests that crash targets at every instance

Cause: on the users' platform nothing kept a request that crashes the targets that run it from the next one. A caller that sent it again at any instance broke all 8 targets of the test's service; the guard of the own deployment learns of crashes through peer links, which do not exist here.

Change: package quarantine counts, by a hash of team, method, path, query and body, the different targets that broke; the third ends the request. A request that completed on an instance is never counted there. Instances report through rows of the table "crash", read by a feed that the store holds for 10 s, so that it costs 0.1 calls a second and instance. A quarantined request gets 503 with the rest of the ten minutes and not 422, as it is not certain that the request is at fault. forward's own hash of plain requests is replaced by the one of package retry, and the three copies of the row encoder by api.EncodeValue.

Bodies above 16 KB are passed on as they come and are not counted.

--- a/internal/batch/accept.go
+++ b/internal/batch/accept.go
@@ -118,7 +118,7 @@
 	defer cancel()
 	return s.options.Store.Commit(ctx, api.Txn{
 		Token:  uuid.NewString(),
-		Writes: append([]api.Write{{Key: jobKey(id), Expected: expected, Value: encodeJSON(r)}}, more...),
+		Writes: append([]api.Write{{Key: jobKey(id), Expected: expected, Value: api.EncodeValue(r)}}, more...),
 	})
 }
 
--- a/internal/batch/append.go
+++ b/internal/batch/append.go
@@ -93,7 +93,7 @@
 	var values []*string
 	size := 0
 	for _, r := range o.progress.ready[:min(appendRows, len(o.progress.ready))] {
-		value := encodeJSON(r)
+		value := api.EncodeValue(r)
 		size += len(*value)
 		if len(values) > 0 && size > appendBytes {
 			break
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -186,16 +186,6 @@
 	return r, errors.Wrap(err, "decode job row")
 }
 
-func encodeJSON(value any) *string {
-	data, err := json.Marshal(value)
-	if err != nil {
-		// The types of this package hold nothing that JSON cannot express.
-		panic(err)
-	}
-	text := string(data)
-	return &text
-}
-
 func encodeObject(value any) []byte {
 	data, err := cbor.Marshal(value)
 	if err != nil {
--- a/internal/batch/service_test.go
+++ b/internal/batch/service_test.go
@@ -360,7 +360,7 @@
 		ended := record{Team: "team", Route: "route", Model: testModel, Total: 1, Owner: "z/1", Term: 1, Ended: true}
 		c.store.set(func() {
 			c.store.objects[textObject("one", 1)] = encodeObject(map[string]storedText{"two-000": {Text: foreign}})
-			value := encodeJSON(ended)
+			value := api.EncodeValue(ended)
 			if _, err := c.store.apply(api.Txn{Writes: []api.Write{{Key: jobKey("one"), Expected: api.NoRevision, Value: value}}}); err != nil {
 				t.Fatal(err)
 			}
--- a/internal/batch/takeover.go
+++ b/internal/batch/takeover.go
@@ -71,7 +71,7 @@
 	defer cancel()
 	_, err := s.options.Store.Commit(ctx, api.Txn{
 		Token:  uuid.NewString(),
-		Writes: []api.Write{{Key: ownerTable + "/" + s.options.Instance, Expected: api.AnyRevision, Value: encodeJSON(h)}},
+		Writes: []api.Write{{Key: ownerTable + "/" + s.options.Instance, Expected: api.AnyRevision, Value: api.EncodeValue(h)}},
 	})
 	return err
 }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -11,6 +11,9 @@
 	ConfigInForce       Name = "configuration in force"
 	ConfigUnreadable    Name = "configuration not readable, the last one stays in force"
 	DepartureUnwritten  Name = "departure not written, jobs are taken over later"
+	CrashesLearned      Name = "crashes of another instance learned"
+	CrashesUnreadable   Name = "report of crashes is not readable"
+	CrashesUnwritten    Name = "report of crashes not written"
 	Drained             Name = "drained"
 	FeedLost            Name = "feed lost"
 	FeedRegained        Name = "feed regained"
@@ -47,6 +50,7 @@
 	StopAsked           Name = "stop asked"
 	Stopped             Name = "instance stopped"
 	TakeoverFailed      Name = "job not taken over"
+	TargetBroke         Name = "target broke while it ran a request"
 	TargetChanged       Name = "target changed"
 	TargetGone          Name = "target gone"
 	TargetInvalid       Name = "entry names no target"
@@ -74,6 +78,9 @@
 	ConfigInForce:       "a newer configuration serves requests from now on; fields `version`, `revision`",
 	ConfigUnreadable:    "the operator's row could not be decoded; the last version still serves",
 	DepartureUnwritten:  "a stopping owner could not tell; others take over after its silence",
+	CrashesLearned:      "another instance reported which requests broke targets; fields `reporter`, `crashes`, `revision`",
+	CrashesUnreadable:   "another instance's report of crashes could not be decoded; what it reported before still counts",
+	CrashesUnwritten:    "others do not know yet which requests broke targets here; the write is repeated",
 	Drained:             "a planned stop is complete",
 	FeedLost:            "calls to the feed of a table fail; what is known of it grows old",
 	FeedRegained:        "the feed answers again",
@@ -110,6 +117,7 @@
 	StopAsked:           "SIGTERM",
 	Stopped:             "the process ends",
 	TakeoverFailed:      "a takeover failed and is tried again",
+	TargetBroke:         "a target broke off while it ran the request with this hash; from the third target on the request is refused",
 	TargetChanged:       "a target described itself anew; `draining`, `versions`",
 	TargetGone:          "a target's entry was removed",
 	TargetInvalid:       "an entry could not be decoded and is not used",
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	// feedWait is how long the table holds a call without changes. A connection that went silent is noticed
+	// defaultHold is how long the table holds a call without changes. A connection that went silent is noticed
 	// after this time and the call's time limit.
-	feedWait = 700 * time.Millisecond
+	defaultHold = 700 * time.Millisecond
 	// defaultPace is the shortest time between two calls, so that rows that change often cost no call each.
 	defaultPace = 100 * time.Millisecond
 	// retryPause is the wait after a failed call.
@@ -42,6 +42,8 @@
 	Now   func() time.Time
 	// Pace is the shortest time between two calls; 0 means 100 ms.
 	Pace time.Duration
+	// Hold is how long the table holds a call without changes; 0 means 700 ms.
+	Hold time.Duration
 }
 
 // Follower follows one table. Its rows have keys of the form "<table>/<name>".
@@ -64,6 +66,9 @@
 	if options.Pace == 0 {
 		options.Pace = defaultPace
 	}
+	if options.Hold == 0 {
+		options.Hold = defaultHold
+	}
 	return &Follower{options: options, known: map[string]int{}}
 }
 
@@ -127,7 +132,7 @@
 func (f *Follower) follow(ctx context.Context, revision int) {
 	for ctx.Err() == nil {
 		began := time.Now()
-		longPoll := feedWait
+		longPoll := f.options.Hold
 		if f.lost {
 			// A short question finds the return of the table soon.
 			longPoll = retryPause
--- a/internal/forward/fake_test.go
+++ b/internal/forward/fake_test.go
@@ -63,6 +63,10 @@
 	return w.poison == 0
 }
 
+func (w *fakeWorld) Refuses(uint64, time.Time) bool { return false }
+
+func (w *fakeWorld) Completed(uint64) {}
+
 func (w *fakeWorld) Refused(outcome.Reason) {}
 
 func (w *fakeWorld) Retried(reason outcome.RetryReason) {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -28,10 +28,14 @@
 	AllowRetry(team, targetID string, now time.Time) bool
 }
 
-// Quarantine counts the targets that broke while they ran one request. Broke reports whether the request
-// must not run again.
+// Quarantine counts the targets that broke while they ran one request, over all its attempts.
 type Quarantine interface {
+	// Refuses reports whether the request must not run.
+	Refuses(fingerprint uint64, now time.Time) bool
+	// Broke records that a target broke, and reports whether the request must not run again.
 	Broke(fingerprint uint64, targetID string, now time.Time) bool
+	// Completed records that the request ran to its end.
+	Completed(fingerprint uint64)
 }
 
 // Claim records the end of one non-idempotent request.
--- a/internal/forward/generator.go
+++ b/internal/forward/generator.go
@@ -86,7 +86,10 @@
 func (g *Generator) run(ctx context.Context, run *generation) *outcome.Refusal {
 	run.route.Exclude = slices.Clone(run.Exclude)
 	run.text = []byte(run.ResumeText)
-	run.breakage = breakage{options: &g.options, fingerprint: func() uint64 { return Fingerprint(run.Service, run.Prompt) }}
+	run.breakage = breakage{options: &g.options, fingerprint: run.Fingerprint}
+	if refusal := run.breakage.check(); refusal != nil {
+		return g.refuse(run, refusal)
+	}
 	for {
 		reserved, refusal := g.reserve(ctx, run)
 		if ctx.Err() == nil && refusal != nil {
@@ -106,6 +109,7 @@
 			return g.refuse(run, end.refusal)
 		}
 		if end.result == target.OK || run.complete() {
+			run.breakage.completed()
 			return nil
 		}
 		if refusal := g.mayRepeat(run, chosen, end); refusal != nil {
--- a/internal/forward/generator_test.go
+++ b/internal/forward/generator_test.go
@@ -145,7 +145,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			world := newWorld(c.urls...)
 			world.noBudget, world.poison = c.noBudget, c.poison
-			refusal := New(world.options()).Generate(t.Context(), engine.Generation{Service: "m", MaxTokens: 4}, func(engine.Chunk) error { return nil })
+			refusal := New(world.options()).Generate(t.Context(), engine.Generation{Service: "m", MaxTokens: 4, Fingerprint: 1}, func(engine.Chunk) error { return nil })
 			if refusal == nil || refusal.Outcome != c.outcome || refusal.Reason != c.reason || len(world.results) != c.attempts {
 				t.Errorf("got %+v after %d attempts", refusal, len(world.results))
 			}
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/egretspar/egretspar/internal/outcome"
+	"github.com/egretspar/egretspar/internal/retry"
 	"github.com/egretspar/egretspar/internal/target"
 )
 
@@ -63,6 +64,11 @@
 		x.refuse(refusal)
 		return
 	}
+	x.breakage.fingerprint = x.fingerprint()
+	if refusal := x.breakage.check(); refusal != nil {
+		x.refuse(refusal)
+		return
+	}
 	if refusal := x.run(ctx); refusal != nil {
 		x.refuse(refusal)
 		return
@@ -70,10 +76,13 @@
 	x.call.report(x.report)
 }
 
-// fingerprint is used for requests with a small body only. Requests without a body are too often the same
-// for two lost targets to mean anything.
+// fingerprint identifies a request by its content, if its body was read whole. It is 0 for others.
 func (x *exchange) fingerprint() uint64 {
-	return Fingerprint(x.call.Service.Name, x.caller.Method, x.call.Path, x.caller.URL.RawQuery, string(x.body))
+	if x.upload != nil || x.plain.options.Quarantine == nil {
+		return 0
+	}
+	head := strings.Join([]string{x.caller.Method, x.call.Path, x.caller.URL.RawQuery, ""}, "\x00")
+	return retry.Fingerprint(x.call.Team, x.call.Service.Name, append([]byte(head), x.body...))
 }
 
 // context detaches a claimed request from its caller: its answer is recorded for a repeated attempt even
@@ -132,7 +141,6 @@
 		return nil
 	}
 	x.body = make([]byte, length)
-	x.breakage.fingerprint = x.fingerprint
 	if _, err := io.ReadFull(x.caller.Body, x.body); err != nil {
 		return outcome.Refuse(outcome.CallerGone)
 	}
@@ -159,6 +167,7 @@
 			return end.refusal
 		}
 		if end.result == target.OK {
+			x.breakage.completed()
 			return nil
 		}
 		if x.next != nil {
--- a/internal/order/intent.go
+++ b/internal/order/intent.go
@@ -88,13 +88,3 @@
 	}
 	return counts
 }
-
-// encode marshals values of this package, which have no fields that could fail.
-func encode(value any) *string {
-	data, err := json.Marshal(value)
-	if err != nil {
-		panic(err)
-	}
-	text := string(data)
-	return &text
-}
--- a/internal/order/worker.go
+++ b/internal/order/worker.go
@@ -162,7 +162,7 @@
 		return nil
 	}
 	w.planner.Takeover()
-	_, err := w.commit(ctx, []api.Write{{Key: termKey, Expected: w.ledger.termRevision, Value: encode(next)}})
+	_, err := w.commit(ctx, []api.Write{{Key: termKey, Expected: w.ledger.termRevision, Value: api.EncodeValue(next)}})
 	if err != nil {
 		return errors.WithMessage(err, "claim order term")
 	}
@@ -286,7 +286,7 @@
 	yes := true
 	revision, err := w.commit(ctx, []api.Write{
 		{Key: termKey, Expected: w.ledger.termRevision, CheckOnly: &yes},
-		{Key: intentKey(pool), Expected: expected, Value: encode(next)},
+		{Key: intentKey(pool), Expected: expected, Value: api.EncodeValue(next)},
 	})
 	if err != nil {
 		return errors.WithMessage(err, "write order intent")
--- a/internal/usage/closer.go
+++ b/internal/usage/closer.go
@@ -274,11 +274,11 @@
 }
 
 func cursorWrite(s state, next cursor) []api.Write {
-	return []api.Write{{Key: cursorKey, Expected: s.cursorRevision, Value: encode(next)}}
+	return []api.Write{{Key: cursorKey, Expected: s.cursorRevision, Value: api.EncodeValue(next)}}
 }
 
 func rowWrite(f frozen) api.Write {
-	return api.Write{Key: windowPrefix + f.Window.ID, Expected: api.NoRevision, Value: encode(f)}
+	return api.Write{Key: windowPrefix + f.Window.ID, Expected: api.NoRevision, Value: api.EncodeValue(f)}
 }
 
 // expired removes the rows that fall beyond the horizon when one more is written.
@@ -290,13 +290,3 @@
 	}
 	return writes
 }
-
-// encode marshals values of this package, which have no fields that could fail.
-func encode(value any) *string {
-	data, err := json.Marshal(value)
-	if err != nil {
-		panic(err)
-	}
-	text := string(data)
-	return &text
-}
