--- a/internal/keepalive/keepalive_test.go
+++ b/internal/keepalive/keepalive_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -16,7 +17,8 @@
 func closed(conn net.Conn) bool {
 	_ = conn.SetReadDeadline(time.Now().Add(time.Millisecond))
 	_, err := conn.Read(make([]byte, 1))
-	netErr, ok := err.(net.Error)
+	var netErr net.Error
+	ok := errors.As(err, &netErr)
 	return err != nil && (!ok || !netErr.Timeout())
 }
 
