demo, bench: name what is out of bounds, and give each failed attempt a reason

Cause: demo ended with exit code 1 once, and its last line did not say which requirement failed.

Change: the report lists out_of_bounds, with faults that could not be brought about and a run that was cut off, and trainer_idle_fraction_bound, from the engines' options by the same function as the bench's step bound. Booking attempts count as attempts_failed_REASON, a broken body as broken_off.

--- a/internal/bench/bookings.go
+++ b/internal/bench/bookings.go
@@ -137,12 +137,15 @@
 		answer.ID = id
 		return outcome.Ran, ""
 	}
-	if response.StatusCode != http.StatusOK || json.NewDecoder(response.Body).Decode(answer) != nil {
-		reason = response.Header.Get("Egretspar-Reason")
-		if reported == outcome.NotRun {
-			return outcome.NotRun, reason
-		}
+	reason = response.Header.Get("Egretspar-Reason")
+	switch {
+	case response.StatusCode != http.StatusOK && reported == outcome.NotRun:
+		return outcome.NotRun, reason
+	case response.StatusCode != http.StatusOK:
 		return outcome.Unknown, reason
+	case json.NewDecoder(response.Body).Decode(answer) != nil:
+		// The answer broke off after its header, which is too late for a reason.
+		return outcome.Unknown, "broken_off"
 	}
 	return outcome.Ran, ""
 }
@@ -173,7 +176,7 @@
 	r.add("unknown_to_caller", "requests", float64(c.unknown))
 	r.add("refused_as_not_run", "requests", float64(len(c.notRun)))
 	for reason, n := range c.reasons {
-		r.add("attempts_refused_"+reason, "attempts", float64(n))
+		r.add("attempts_failed_"+reason, "attempts", float64(n))
 	}
 	r.atMost("run_twice", "requests", float64(doubled), 0)
 	r.atMost("not_run_but_ran", "requests", float64(falseNotRun), 0)
--- a/internal/bench/steps.go
+++ b/internal/bench/steps.go
@@ -43,12 +43,18 @@
 	versions                                                                 *engine.VersionLog
 }
 
-// steps runs training steps one after the other, with faults if the experiment asks for them.
-func steps(ctx context.Context, e Experiment, log zerolog.Logger) (*Result, error) {
-	o := engine.Options{
+// stepEngine returns the options of the engines.
+func stepEngine() engine.Options {
+	return engine.Options{
 		Slots: stepSlots, TokenTime: stepTokenTime, BatchTime: stepBatchTime, LengthMedian: stepLengthMedian, LengthSigma: stepLengthSigma,
-		LoadTime: 200 * time.Millisecond, SwapTime: 10 * time.Millisecond, Versions: engine.NewVersionLog(),
+		LoadTime: 200 * time.Millisecond, SwapTime: 10 * time.Millisecond,
 	}
+}
+
+// steps runs training steps one after the other, with faults if the experiment asks for them.
+func steps(ctx context.Context, e Experiment, log zerolog.Logger) (*Result, error) {
+	o := stepEngine()
+	o.Versions = engine.NewVersionLog()
 	b, err := start(ctx, e, o, log)
 	if err != nil {
 		return nil, err
@@ -102,21 +108,13 @@
 	took := time.Since(begun)
 	counts.requested += e.Groups * e.SamplesPerGroup
 	counts.waited += took
-	counts.bound += speedBound(e, tokens, longest)
+	counts.bound += stepEngine().ShortestStep(e.Engines, tokens, longest)
 	counts.times.record(took, err == nil)
 	if err != nil {
 		counts.failedSteps++
 	}
 }
 
-// speedBound is the shortest time in which the engines could produce a step: the longest sample alone,
-// or all tokens at full batches.
-func speedBound(e Experiment, tokens, longest int) time.Duration {
-	alone := time.Duration(longest) * (stepTokenTime + stepBatchTime)
-	batched := time.Duration(tokens) * (stepTokenTime + stepSlots*stepBatchTime) / time.Duration(e.Engines*stepSlots)
-	return max(alone, batched)
-}
-
 // receive judges a sample against the version that the trainer named in the poll, and returns its tokens.
 func (c *stepCounts) receive(s api.Sample, seen map[[2]int]bool, polled int) int {
 	slot := [2]int{s.Group, s.Index}
--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -26,7 +26,7 @@
 	report, err := demo.Run(ctx, demo.Options{
 		Seed: c.Seed, Progress: streams.Out, Log: telemetry.NewLogger(logs, settings.LevelInfo),
 	})
-	if report == nil {
+	if err != nil {
 		return err
 	}
 	line, marshalErr := json.Marshal(report)
@@ -34,10 +34,7 @@
 		return marshalErr
 	}
 	fmt.Fprintf(streams.Out, "%s\n", line)
-	if err != nil {
-		return err
-	}
-	return exit(ExitFailed, report.Check())
+	return exit(ExitFailed, report.Err())
 }
 
 func (c *demoCommand) logs(streams Streams) (io.Writer, error) {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -59,8 +59,7 @@
 	crashedFor    time.Duration
 }
 
-// Run makes one run and returns its report. An error may come together with a report, when a fault could not
-// be brought about.
+// Run makes one run and returns its report, which names what was not as required.
 func Run(ctx context.Context, options Options) (*Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
@@ -82,9 +81,17 @@
 	if err := r.start(ctx); err != nil {
 		return nil, err
 	}
-	err = r.work(ctx)
+	faults := r.work(ctx)
 	r.awaitWindows(ctx)
-	return r.report(), err
+	report := r.report()
+	report.OutOfBounds = report.check()
+	if faults != nil {
+		report.OutOfBounds = append(report.OutOfBounds, faults.Error())
+	}
+	if ctx.Err() != nil {
+		report.OutOfBounds = append(report.OutOfBounds, fmt.Sprintf("the run was cut off after %v", limit))
+	}
+	return report, nil
 }
 
 func (r *run) progress(format string, args ...any) {
--- a/internal/demo/judge.go
+++ b/internal/demo/judge.go
@@ -31,6 +31,7 @@
 	report.SamplesMissing = steps*stepGroups*samplesPerGroup - t.delivered
 	report.SamplesOverStaleness, report.SamplesMislabelled, report.SamplesBroken = t.stale, t.wrong, t.broken
 	report.TrainerIdleFraction = t.waited.Seconds() / (t.waited + t.trained).Seconds()
+	report.TrainerIdleFractionBound = t.bound.Seconds() / (t.bound + t.trained).Seconds()
 }
 
 func (r *run) callerFigures(report *Report) {
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -9,26 +9,28 @@
 // Report is the result of a run. Every figure is counted by the callers or by the stand-ins, none by the
 // entry instances.
 type Report struct {
-	Seed                       int64   `json:"seed"`
-	Seconds                    float64 `json:"seconds"`
-	SamplesRequested           int     `json:"samples_requested"`
-	SamplesDelivered           int     `json:"samples_delivered"`
-	SamplesDuplicate           int     `json:"samples_duplicate"`
-	SamplesMissing             int     `json:"samples_missing"`
-	SamplesOverStaleness       int     `json:"samples_over_staleness"`
-	SamplesMislabelled         int     `json:"samples_mislabelled"`
-	SamplesBroken              int     `json:"samples_broken"`
-	RequestsOK                 int     `json:"requests_ok"`
-	RequestsRefusedNotRun      int     `json:"requests_refused_not_run"`
-	RequestsLost               int     `json:"requests_lost"`
-	RequestsDoubled            int     `json:"requests_doubled"`
-	RequestsWrongAnswer        int     `json:"requests_wrong_answer"`
-	RequestsFalseNotRun        int     `json:"requests_false_not_run"`
-	RequestsCutByDrain         int     `json:"requests_cut_by_drain"`
-	KeysLeaked                 int     `json:"keys_leaked"`
-	KeyWithdrawalSeconds       float64 `json:"key_withdrawal_seconds"`
-	KeyUses                    int     `json:"key_uses"`
-	TrainerIdleFraction        float64 `json:"trainer_idle_fraction"`
+	Seed                  int64   `json:"seed"`
+	Seconds               float64 `json:"seconds"`
+	SamplesRequested      int     `json:"samples_requested"`
+	SamplesDelivered      int     `json:"samples_delivered"`
+	SamplesDuplicate      int     `json:"samples_duplicate"`
+	SamplesMissing        int     `json:"samples_missing"`
+	SamplesOverStaleness  int     `json:"samples_over_staleness"`
+	SamplesMislabelled    int     `json:"samples_mislabelled"`
+	SamplesBroken         int     `json:"samples_broken"`
+	RequestsOK            int     `json:"requests_ok"`
+	RequestsRefusedNotRun int     `json:"requests_refused_not_run"`
+	RequestsLost          int     `json:"requests_lost"`
+	RequestsDoubled       int     `json:"requests_doubled"`
+	RequestsWrongAnswer   int     `json:"requests_wrong_answer"`
+	RequestsFalseNotRun   int     `json:"requests_false_not_run"`
+	RequestsCutByDrain    int     `json:"requests_cut_by_drain"`
+	KeysLeaked            int     `json:"keys_leaked"`
+	KeyWithdrawalSeconds  float64 `json:"key_withdrawal_seconds"`
+	KeyUses               int     `json:"key_uses"`
+	TrainerIdleFraction   float64 `json:"trainer_idle_fraction"`
+	// TrainerIdleFractionBound is the idle fraction if all engines worked on each step from its start at full speed.
+	TrainerIdleFractionBound   float64 `json:"trainer_idle_fraction_bound"`
 	WorstTeamServiceFraction   float64 `json:"worst_team_service_fraction"`
 	TargetCost                 float64 `json:"target_cost"`
 	OrdersFromTwoHolders       int     `json:"orders_from_two_holders"`
@@ -38,14 +40,24 @@
 	DrainCompleted             bool    `json:"drain_completed"`
 	WeightVersionOnAllEngines  int     `json:"weight_version_on_all_engines"`
 	ConfigurationInForceMillis int     `json:"configuration_in_force_ms"`
+	// OutOfBounds names the requirements that were not met.
+	OutOfBounds []string `json:"out_of_bounds"`
 }
 
 // maxWithdrawalSeconds is the required time from the withdrawal of a key to its last effect.
 const maxWithdrawalSeconds = 2.0
 
-// Check returns an error that names every broken requirement.
-func (r *Report) Check() error {
-	var broken []string
+// Err returns an error that names every requirement that was not met, or nil.
+func (r *Report) Err() error {
+	if len(r.OutOfBounds) > 0 {
+		return errors.Errorf("requirements not met: %v", r.OutOfBounds)
+	}
+	return nil
+}
+
+// check lists the requirements that were not met.
+func (r *Report) check() []string {
+	broken := []string{}
 	zero := func(name string, n int) {
 		if n != 0 {
 			broken = append(broken, fmt.Sprintf("%s is %d", name, n))
@@ -80,8 +92,5 @@
 	if !r.DrainCompleted {
 		broken = append(broken, "the drained instance did not stop by itself")
 	}
-	if len(broken) > 0 {
-		return errors.Errorf("requirements not met: %v", broken)
-	}
-	return nil
+	return broken
 }
--- a/internal/demo/report_test.go
+++ b/internal/demo/report_test.go
@@ -15,8 +15,8 @@
 // Guards against a run that breaks a requirement and still ends with success.
 func TestCheckFindsEveryBrokenRequirement(t *testing.T) {
 	report := good()
-	if err := report.Check(); err != nil {
-		t.Fatal(err)
+	if report.OutOfBounds = report.check(); report.Err() != nil {
+		t.Fatal(report.Err())
 	}
 	for name, spoil := range map[string]func(*Report){
 		"samples_duplicate":         func(r *Report) { r.SamplesDuplicate = 1 },
@@ -41,7 +41,8 @@
 	} {
 		report := good()
 		spoil(&report)
-		if err := report.Check(); err == nil || !strings.Contains(err.Error(), name) {
+		report.OutOfBounds = report.check()
+		if err := report.Err(); err == nil || !strings.Contains(err.Error(), name) {
 			t.Errorf("%s: %v", name, err)
 		}
 	}
--- a/internal/demo/trainer.go
+++ b/internal/demo/trainer.go
@@ -38,7 +38,9 @@
 	broken    int
 	requested int
 	waited    time.Duration
-	trained   time.Duration
+	// bound is the shortest time in which all engines could have produced the steps.
+	bound   time.Duration
+	trained time.Duration
 }
 
 func newTrainer(b *testbed.Balancer, key string, versions *standinengine.VersionLog) *trainer {
@@ -62,13 +64,18 @@
 	t.requested += stepGroups * samplesPerGroup
 	t.mu.Unlock()
 	seen := map[[2]int]bool{}
-	polled := 0
+	polled, tokens, longest := 0, 0, 0
 	begun := time.Now()
 	err := t.client.RunStep(ctx, spec,
 		func() int { polled = int(t.version.Load()); return polled },
-		func(s api.Sample) error { t.receive(s, seen, polled); return nil })
+		func(s api.Sample) error {
+			n := t.receive(s, seen, polled)
+			tokens, longest = tokens+n, max(longest, n)
+			return nil
+		})
 	t.mu.Lock()
 	t.waited += time.Since(begun)
+	t.bound += trainingEngine(0, nil).ShortestStep(trainingEngines, tokens, longest)
 	t.mu.Unlock()
 	return err
 }
@@ -85,14 +92,14 @@
 	t.mu.Unlock()
 }
 
-// receive judges a sample. polled is the version that the trainer named in the poll.
-func (t *trainer) receive(s api.Sample, seen map[[2]int]bool, polled int) {
+// receive judges a sample and returns its tokens. polled is the version that the trainer named in the poll.
+func (t *trainer) receive(s api.Sample, seen map[[2]int]bool, polled int) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	slot := [2]int{s.Group, s.Index}
 	if seen[slot] {
 		t.duplicate++
-		return
+		return 0
 	}
 	seen[slot] = true
 	t.delivered++
@@ -105,9 +112,11 @@
 	if !t.isLabelledRight(s) {
 		t.wrong++
 	}
-	if got, whole := standinengine.Continuous(s.Text); !whole || got != spanTokens(s.Spans) || got == 0 {
+	got, whole := standinengine.Continuous(s.Text)
+	if !whole || got != spanTokens(s.Spans) || got == 0 {
 		t.broken++
 	}
+	return got
 }
 
 // isLabelledRight compares the spans of a sample with what the engines recorded.
--- a/internal/demo/world.go
+++ b/internal/demo/world.go
@@ -36,16 +36,21 @@
 	reclaimablePerHour = 1.1
 )
 
+// trainingEngine returns the options of the training engines.
+func trainingEngine(seed int64, versions *engine.VersionLog) engine.Options {
+	return engine.Options{
+		Slots: 32, TokenTime: 3 * time.Millisecond, BatchTime: 50 * time.Microsecond, LengthMedian: 48, LengthSigma: 0.7,
+		LoadTime: 300 * time.Millisecond, SwapTime: 20 * time.Millisecond, Seed: uint64(seed), Version: 1, Versions: versions,
+	}
+}
+
 func spec(seed int64, versions *engine.VersionLog, log zerolog.Logger) testbed.Spec {
 	return testbed.Spec{
 		Seed: seed, Zones: []string{"rennes", "brest"}, Instances: entryInstances, Log: log,
 		Platform: platform.Options{Seed: uint64(seed), InstanceLag: 300 * time.Millisecond, WeightReadsPerSecond: 10},
 		Keys:     map[string]string{keyTrainer: teamTrainer, keyShop: teamShop, keyWithdrawn: teamShop},
 		Engines: []testbed.Engines{
-			{Service: serviceTraining, Count: trainingEngines, Supply: opsconfig.Reclaimable, Options: engine.Options{
-				Slots: 32, TokenTime: 3 * time.Millisecond, BatchTime: 50 * time.Microsecond, LengthMedian: 48, LengthSigma: 0.7,
-				LoadTime: 300 * time.Millisecond, SwapTime: 20 * time.Millisecond, Seed: uint64(seed), Version: 1, Versions: versions,
-			}},
+			{Service: serviceTraining, Count: trainingEngines, Supply: opsconfig.Reclaimable, Options: trainingEngine(seed, versions)},
 			{Service: serviceAdvice, Count: adviceEngines, Supply: opsconfig.OnDemand, Options: engine.Options{
 				Slots: 16, TokenTime: 2 * time.Millisecond, BatchTime: 50 * time.Microsecond, LengthMedian: adviceMedian, LengthSigma: adviceSigma,
 				Seed: uint64(seed) + 100, Version: 1,
--- a/internal/standin/engine/options.go
+++ b/internal/standin/engine/options.go
@@ -72,6 +72,15 @@
 	Secrets []string
 }
 
+// ShortestStep is the shortest time in which engines with these options could produce samples: the longest one
+// alone, or all tokens at full batches.
+func (o Options) ShortestStep(engines, tokens, longest int) time.Duration {
+	alone := time.Duration(longest) * (o.TokenTime + o.BatchTime)
+	batch := time.Duration(o.Slots)
+	batched := time.Duration(tokens) * (o.TokenTime + batch*o.BatchTime) / (time.Duration(engines) * batch)
+	return max(alone, batched)
+}
+
 func (o Options) withDefaults() Options {
 	o.Slots = orDefault(o.Slots, defaultSlots)
 	o.MaxWaiting = orDefault(o.MaxWaiting, defaultMaxWaiting)
