cli: list and show teams, targets and usage, and complete commands in the shell

Cause: an operator could see teams, targets and what was served only in the long answer of "status", and the shell completed nothing.

Change: "team", "target" and "usage" with "list" and "show", as a table or as JSON, from the configuration in force and the status of an instance; "install-completions" through the library kongplete.

Measured: TestListAndShow, TestEveryCommand; `COMP_LINE="egretspar ta"` prints "target".

Usage windows that were reported belong to the platform and cannot be read back, so "usage" shows what an instance served since its start.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -12,6 +12,7 @@
 
 	"github.com/alecthomas/kong"
 	"github.com/pkg/errors"
+	"github.com/willabides/kongplete"
 
 	standincli "github.com/egretspar/egretspar/internal/standin/cli"
 	"github.com/egretspar/egretspar/internal/tomldoc"
@@ -57,6 +58,9 @@
 	Fleet   fleetCommand       `cmd:"" help:"Run an entry instance on the users' platform, with the settings that its environment names."`
 	Config  configCommands     `cmd:"" help:"Check, compare, apply and read configurations."`
 	Key     keyCommands        `cmd:"" help:"Create and withdraw keys."`
+	Team    teamCommands       `cmd:"" help:"List and show teams."`
+	Target  targetCommands     `cmd:"" help:"List and show targets."`
+	Usage   usageCommands      `cmd:"" help:"List and show what an instance has served."`
 	Step    stepCommands       `cmd:"" help:"Run training steps."`
 	Status  statusCommand      `cmd:"" help:"Show instances, targets, teams and leases."`
 	Drain   drainCommand       `cmd:"" help:"Stop an instance without interrupting a request."`
@@ -65,6 +69,8 @@
 	Bench   benchCommand       `cmd:"" help:"Run an experiment on loopback and print its figures."`
 	Report  reportCommand      `cmd:"" help:"Write bench results as one HTML page."`
 	Version versionCommand     `cmd:"" help:"Print the version."`
+
+	InstallCompletions kongplete.InstallCompletions `cmd:"" help:"Print the code that makes the shell complete commands and flags."`
 }
 
 // Run executes the command line args and returns the exit code.
@@ -106,6 +112,8 @@
 	if len(args) == 0 {
 		args = []string{"--help"}
 	}
+	// Ends the process if the shell asks for completions.
+	kongplete.Complete(parser)
 	ctx, err := parser.Parse(args)
 	if err != nil {
 		fmt.Fprintf(streams.Err, "egretspar: %s\n", err)
--- a/internal/cli/key_test.go
+++ b/internal/cli/key_test.go
@@ -51,6 +51,12 @@
 per_hour = 0.0
 `
 
+const testStatus = `{"instance":"entry-1","zone":"rennes","revision":7,"serving":true,"draining":false,"active_requests":0,
+"evidence_age_ms":4,"targets":[
+{"id":"e1","service":"chat","zone":"rennes","state":"ready","weight_version":3,"slots":8,"in_flight":2},
+{"id":"e2","service":"chat","zone":"brest","state":"ready"}],
+"teams":[{"team":"shop","service":"chat","served":5,"waiting":1,"in_flight":2}]}`
+
 // operatorServer holds testConfig as revision 7 and takes an apply against revision current.
 type operatorServer struct {
 	current int
@@ -62,6 +68,8 @@
 	switch {
 	case r.Header.Get("Authorization") != "Bearer "+testToken:
 		refuse(w, http.StatusUnauthorized, "admin_forbidden", "the operator token is missing or wrong")
+	case r.URL.Path == "/admin/v1/status":
+		_, _ = io.WriteString(w, testStatus)
 	case r.Method == http.MethodGet:
 		w.Header().Set("Egretspar-Revision", "7")
 		_, _ = io.WriteString(w, testConfig)
--- a/internal/cli/operator.go
+++ b/internal/cli/operator.go
@@ -158,7 +158,7 @@
 
 type historyCommand struct {
 	connection
-	Output string `enum:"table,json" default:"table" help:"Format: table or json."`
+	format
 }
 
 // Run prints the newest revisions first.
@@ -203,7 +203,7 @@
 
 type statusCommand struct {
 	connection
-	Output string `enum:"table,json" default:"table" help:"Format: table or json."`
+	format
 }
 
 // Run prints the state of an instance and what it knows of the others.
