--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -23,7 +23,14 @@
 	if err != nil {
 		parsed = zerolog.InfoLevel
 	}
-	return zerolog.New(w).Level(parsed).With().Timestamp().Logger()
+	return zerolog.New(w).Level(parsed).Hook(zerolog.HookFunc(addTime))
+}
+
+// timeLayout has milliseconds, so that lines of one request sort in their order.
+const timeLayout = "2006-01-02T15:04:05.000Z07:00"
+
+func addTime(e *zerolog.Event, _ zerolog.Level, _ string) {
+	e.Str(zerolog.TimestampFieldName, time.Now().UTC().Format(timeLayout))
 }
 
 // lineWriter turns zerolog's JSON into lines of key=value pairs.
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/http/httptest"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -20,6 +21,9 @@
 	if strings.Count(line, "\n") != 1 {
 		t.Fatalf("not one line: %q", line)
 	}
+	if !regexp.MustCompile(`^time=\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3}Z `).MatchString(line) {
+		t.Errorf("no time in milliseconds: %s", line)
+	}
 	for _, want := range []string{"level=info ", `event="request refused"`, "service=chat", `detail="a b\nlevel=error"`, "count=3", "held=true"} {
 		if !strings.Contains(line, want) {
 			t.Errorf("no %s in %s", want, line)
