quarantine: a request that completes on one instance is released on all

Cause, found by reading: a request whose body is the same each time can break off at three targets while an engine crashes or a link is cut. An instance that never completed it then refused it for ten minutes, although other instances ran it with success.

Change: an instance that completes a request which others reported says so in its row, and the others drop what they counted.

Measured: TestCompletionElsewhereReleases; it cannot be written against the former code, whose reports held crashes only. TestRequestThatCrashesTargets still loses at most 3 of 8 targets.

--- a/internal/forward/breakage.go
+++ b/internal/forward/breakage.go
@@ -31,7 +31,7 @@
 // completed records that the request ran to its end.
 func (b *breakage) completed() {
 	if b.counts() {
-		b.options.Quarantine.Completed(b.fingerprint)
+		b.options.Quarantine.Completed(b.fingerprint, time.Now())
 	}
 }
 
--- a/internal/forward/fake_test.go
+++ b/internal/forward/fake_test.go
@@ -65,7 +65,7 @@
 
 func (w *fakeWorld) Refuses(uint64, time.Time) bool { return false }
 
-func (w *fakeWorld) Completed(uint64) {}
+func (w *fakeWorld) Completed(uint64, time.Time) {}
 
 func (w *fakeWorld) Refused(outcome.Reason) {}
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -35,7 +35,7 @@
 	// Broke records that a target broke, and reports whether the request must not run again.
 	Broke(fingerprint uint64, targetID string, now time.Time) bool
 	// Completed records that the request ran to its end.
-	Completed(fingerprint uint64)
+	Completed(fingerprint uint64, now time.Time)
 }
 
 // Claim records the end of one non-idempotent request.
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -30,6 +30,13 @@
 	Target  string `json:"target"`
 }
 
+// Report is what one instance tells the others.
+type Report struct {
+	Crashes []Crash `json:"crashes"`
+	// Completed lists requests that others reported and that completed here.
+	Completed []uint64 `json:"completed"`
+}
+
 // targets holds the targets that one request broke, and when this instance learned of each.
 type targets map[string]time.Time
 
@@ -44,7 +51,7 @@
 }
 
 // List counts the targets that broke while they ran a request, here and on other instances. A request that
-// completed here is never the cause. A List is safe for concurrent use.
+// completed on any instance is never the cause. A List is safe for concurrent use.
 type List struct {
 	log zerolog.Logger
 
@@ -54,12 +61,14 @@
 	reported map[string]suspects
 	// completed is a lossy set. A request that is overwritten only loses its exemption.
 	completed [completedSlots]uint64
-	changes   chan struct{}
+	// cleared holds the reported requests that completed here, and when.
+	cleared map[uint64]time.Time
+	changes chan struct{}
 }
 
 // NewList returns an empty list.
 func NewList(log zerolog.Logger) *List {
-	return &List{log: log, own: suspects{}, reported: map[string]suspects{}, changes: make(chan struct{}, 1)}
+	return &List{log: log, own: suspects{}, reported: map[string]suspects{}, cleared: map[uint64]time.Time{}, changes: make(chan struct{}, 1)}
 }
 
 // Refuses reports whether a request must not run, because it broke too many targets.
@@ -86,9 +95,19 @@
 }
 
 // Completed records that a request has run to its end.
-func (l *List) Completed(request uint64) {
+func (l *List) Completed(request uint64, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.noteCompleted(request)
+	for _, reported := range l.reported {
+		if reported[request] != nil && l.cleared[request].IsZero() && len(l.cleared) < maxSuspects {
+			l.cleared[request] = now
+			l.signal()
+		}
+	}
+}
+
+func (l *List) noteCompleted(request uint64) {
 	l.completed[request%completedSlots] = request
 	if l.own[request] != nil {
 		delete(l.own, request)
@@ -117,25 +136,35 @@
 }
 
 // Report returns what this instance saw, for the other ones.
-func (l *List) Report(now time.Time) []Crash {
+func (l *List) Report(now time.Time) Report {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.own.forget(now)
-	crashes := []Crash{}
+	report := Report{Crashes: []Crash{}, Completed: []uint64{}}
 	for request, broken := range l.own {
 		for target := range broken {
-			crashes = append(crashes, Crash{Request: request, Target: target})
+			report.Crashes = append(report.Crashes, Crash{Request: request, Target: target})
 		}
 	}
-	return crashes
+	for request, at := range l.cleared {
+		if now.Sub(at) >= memory {
+			delete(l.cleared, request)
+			continue
+		}
+		report.Completed = append(report.Completed, request)
+	}
+	return report
 }
 
 // Learn replaces what another instance reported. A crash that was reported before keeps its time.
-func (l *List) Learn(instance string, crashes []Crash, now time.Time) {
+func (l *List) Learn(instance string, report Report, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	for _, request := range report.Completed {
+		l.noteCompleted(request)
+	}
 	next, last := suspects{}, l.reported[instance]
-	for _, c := range crashes {
+	for _, c := range report.Crashes {
 		at := now
 		if known, ok := last[c.Request][c.Target]; ok {
 			at = known
--- a/internal/quarantine/list_test.go
+++ b/internal/quarantine/list_test.go
@@ -31,25 +31,25 @@
 		{"one target three times", func(l *List) { l.Broke(7, "a", epoch); l.Broke(7, "a", epoch) }, 0, false, false, "a"},
 		{"another request", func(l *List) { l.Broke(8, "a", epoch); l.Broke(8, "b", epoch) }, 0, false, false, "c"},
 		{"reported by two instances", func(l *List) {
-			l.Learn("x", []Crash{{7, "a"}}, epoch)
-			l.Learn("y", []Crash{{7, "b"}}, epoch)
+			l.Learn("x", Report{Crashes: []Crash{{7, "a"}}}, epoch)
+			l.Learn("y", Report{Crashes: []Crash{{7, "b"}}}, epoch)
 		}, 0, true, true, "c"},
 		{"reported and seen here", func(l *List) {
-			l.Learn("x", []Crash{{7, "a"}}, epoch)
+			l.Learn("x", Report{Crashes: []Crash{{7, "a"}}}, epoch)
 			l.Broke(7, "a", epoch)
 		}, 0, false, false, "b"},
 		{"completed between", func(l *List) {
 			l.Broke(7, "a", epoch)
 			l.Broke(7, "b", epoch)
-			l.Completed(7)
+			l.Completed(7, epoch)
 		}, 0, false, false, "c"},
 		{"completed here, reported elsewhere", func(l *List) {
-			l.Completed(7)
-			l.Learn("x", []Crash{{7, "a"}, {7, "b"}, {7, "c"}}, epoch)
+			l.Completed(7, epoch)
+			l.Learn("x", Report{Crashes: []Crash{{7, "a"}, {7, "b"}, {7, "c"}}}, epoch)
 		}, 0, false, false, "d"},
 		{"long ago", func(l *List) { l.Broke(7, "a", epoch); l.Broke(7, "b", epoch) }, memory, false, false, "c"},
 		{"reporter gone", func(l *List) {
-			l.Learn("x", []Crash{{7, "a"}, {7, "b"}}, epoch)
+			l.Learn("x", Report{Crashes: []Crash{{7, "a"}, {7, "b"}}}, epoch)
 			l.Forget("x")
 		}, 0, false, false, "c"},
 	} {
@@ -70,7 +70,7 @@
 // Guards against a report that renews its crashes each time the row is read.
 func TestLearnedCrashKeepsItsTime(t *testing.T) {
 	l := newTestList()
-	report := []Crash{{7, "a"}, {7, "b"}, {7, "c"}}
+	report := Report{Crashes: []Crash{{7, "a"}, {7, "b"}, {7, "c"}}}
 	for elapsed := time.Duration(0); elapsed < memory; elapsed += memory / 4 {
 		l.Learn("x", report, epoch.Add(elapsed))
 	}
@@ -82,6 +82,24 @@
 	}
 }
 
+// Guards against a request that breaks off often enough to be refused on an instance that never completed it,
+// although it completes on another one.
+func TestCompletionElsewhereReleases(t *testing.T) {
+	refusing, serving := newTestList(), newTestList()
+	for _, target := range []string{"a", "b", "c"} {
+		refusing.Broke(7, target, epoch)
+	}
+	if !refusing.Refuses(7, epoch) {
+		t.Fatal("not refused")
+	}
+	serving.Learn("refusing", refusing.Report(epoch), epoch)
+	serving.Completed(7, epoch)
+	refusing.Learn("serving", serving.Report(epoch), epoch)
+	if refusing.Refuses(7, epoch) || len(refusing.Report(epoch).Crashes) > 0 {
+		t.Error("still refused after it completed elsewhere")
+	}
+}
+
 // Guards against memory and rows that grow with the number of requests that were cut off.
 func TestReportIsBounded(t *testing.T) {
 	l := newTestList()
@@ -90,8 +108,8 @@
 	}
 	report := l.Report(epoch)
 	data, err := json.Marshal(report)
-	if err != nil || len(report) > maxSuspects || len(data) > 64<<10 {
-		t.Errorf("%d crashes, %d B, %v", len(report), len(data), err)
+	if err != nil || len(report.Crashes) > maxSuspects || len(data) > 64<<10 {
+		t.Errorf("%d crashes, %d B, %v", len(report.Crashes), len(data), err)
 	}
 }
 
--- a/internal/quarantine/worker.go
+++ b/internal/quarantine/worker.go
@@ -108,12 +108,13 @@
 			w.options.List.Forget(instance)
 			continue
 		}
-		var crashes []Crash
-		if err := json.Unmarshal([]byte(c.Value), &crashes); err != nil {
+		var report Report
+		if err := json.Unmarshal([]byte(c.Value), &report); err != nil {
 			w.options.Log.Warn().Err(err).Str("row", c.Key).Int("revision", c.Revision).Msg(event.CrashesUnreadable)
 			continue
 		}
-		w.options.List.Learn(instance, crashes, time.Now())
-		w.options.Log.Info().Str("reporter", instance).Int("crashes", len(crashes)).Int("revision", c.Revision).Msg(event.CrashesLearned)
+		now := time.Now()
+		w.options.List.Learn(instance, report, now)
+		w.options.Log.Info().Str("reporter", instance).Int("crashes", len(report.Crashes)).Int("completed", len(report.Completed)).Int("known", w.options.List.Count(now)).Int("revision", c.Revision).Msg(event.CrashesLearned)
 	}
 }
