--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -80,7 +80,7 @@
 	ConfigInForce:       "a newer configuration serves requests from now on; fields `version`, `revision`",
 	ConfigUnreadable:    "the operator's row could not be decoded; the last version still serves",
 	DepartureUnwritten:  "a stopping owner could not tell; others take over after its silence",
-	CrashesLearned:      "another instance reported which requests broke targets; fields `reporter`, `crashes`, `revision`",
+	CrashesLearned:      "another instance reported `crashes` that requests caused and requests that `completed`; `known` crashes count now",
 	CrashesUnreadable:   "another instance's report of crashes could not be decoded; what it reported before still counts",
 	CrashesUnwritten:    "others do not know yet which requests broke targets here; the write is repeated",
 	Drained:             "a planned stop is complete",
