cli: one way to list and show items

Cause: the six list and show commands repeated each other, and status printed the same two tables with code of its own.

Change: a table knows how its items are read, named and printed.

Measured: TestListAndShow and the other tests of package cli pass unchanged.

--- a/internal/cli/list.go
+++ b/internal/cli/list.go
@@ -20,40 +20,65 @@
 	Output string `enum:"table,json" default:"table" help:"Format: table or json."`
 }
 
-// table is a list that can be printed as a table.
+// table is a kind of items that can be listed.
 type table[T any] struct {
+	// kind names one item in errors.
+	kind   string
 	header string
 	row    func(w io.Writer, item T)
+	// name is what selects an item.
+	name func(item T) string
+	read func(ctx context.Context, c *connection) ([]T, error)
 }
 
-// print writes the items as a table or as a JSON array.
-func (t table[T]) print(out io.Writer, f format, items []T) error {
-	if f.Output == "json" {
-		if items == nil {
-			items = []T{}
-		}
-		return errors.WithStack(json.NewEncoder(out).Encode(items))
+// list prints the items that match, as a table or as a JSON array.
+func (t table[T]) list(ctx context.Context, c *connection, f format, out io.Writer, match func(T) bool) error {
+	items, err := t.read(ctx, c)
+	if err != nil {
+		return err
 	}
-	w := newTable(out)
-	fmt.Fprintln(w, t.header)
-	for _, item := range items {
-		t.row(w, item)
+	return t.print(f, out, selected(items, match))
+}
+
+// show prints the items with a name; none is an error.
+func (t table[T]) show(ctx context.Context, c *connection, f format, out io.Writer, name string) error {
+	items, err := t.read(ctx, c)
+	if err != nil {
+		return err
 	}
-	return w.Flush()
+	found := selected(items, func(item T) bool { return t.name(item) == name })
+	if len(found) == 0 {
+		return exit(ExitFailed, errors.Errorf("%s %s is not known", t.kind, name))
+	}
+	return t.print(f, out, found)
 }
 
-// one returns the items that match; none is an error that names what was looked for.
-func one[T any](items []T, kind, name string, match func(T) bool) ([]T, error) {
-	var found []T
+func selected[T any](items []T, match func(T) bool) []T {
+	found := []T{}
 	for _, item := range items {
 		if match(item) {
 			found = append(found, item)
 		}
 	}
-	if len(found) == 0 {
-		return nil, exit(ExitFailed, errors.Errorf("%s %s is not known", kind, name))
+	return found
+}
+
+func all[T any](T) bool { return true }
+
+func (t table[T]) print(f format, out io.Writer, items []T) error {
+	if f.Output == "json" {
+		return errors.WithStack(json.NewEncoder(out).Encode(items))
+	}
+	w := newTable(out)
+	t.writeTo(w, items)
+	return w.Flush()
+}
+
+func (t table[T]) writeTo(w io.Writer, items []T) {
+	fmt.Fprintln(w, t.header)
+	for _, item := range items {
+		t.row(w, item)
 	}
-	return found, nil
 }
 
 func (c *connection) status(ctx context.Context) (*api.Status, error) {
@@ -91,9 +116,14 @@
 	Services []string `json:"services"`
 }
 
-var teamTable = table[teamEntry]{"TEAM\tWEIGHT\tMOST AT ONCE\tLEAVING\tKEYS\tSERVICES", func(w io.Writer, t teamEntry) {
-	fmt.Fprintf(w, "%s\t%d\t%d\t%t\t%d\t%v\n", t.Name, t.Weight, t.MaxConcurrency, t.Leaving, t.Keys, t.Services)
-}}
+var teamTable = table[teamEntry]{
+	kind: "team", header: "TEAM\tWEIGHT\tMOST AT ONCE\tLEAVING\tKEYS\tSERVICES",
+	row: func(w io.Writer, t teamEntry) {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%t\t%d\t%v\n", t.Name, t.Weight, t.MaxConcurrency, t.Leaving, t.Keys, t.Services)
+	},
+	name: func(t teamEntry) string { return t.Name },
+	read: func(ctx context.Context, c *connection) ([]teamEntry, error) { return c.teams(ctx) },
+}
 
 func (c *connection) teams(ctx context.Context) ([]teamEntry, error) {
 	document, err := c.configuration(ctx)
@@ -125,11 +155,7 @@
 
 // Run prints all teams.
 func (c *teamListCommand) Run(ctx context.Context, streams Streams) error {
-	teams, err := c.teams(ctx)
-	if err != nil {
-		return err
-	}
-	return teamTable.print(streams.Out, c.format, teams)
+	return teamTable.list(ctx, &c.connection, c.format, streams.Out, all)
 }
 
 type teamShowCommand struct {
@@ -140,15 +166,7 @@
 
 // Run prints one team.
 func (c *teamShowCommand) Run(ctx context.Context, streams Streams) error {
-	teams, err := c.teams(ctx)
-	if err != nil {
-		return err
-	}
-	found, err := one(teams, "team", c.Name, func(t teamEntry) bool { return t.Name == c.Name })
-	if err != nil {
-		return err
-	}
-	return teamTable.print(streams.Out, c.format, found)
+	return teamTable.show(ctx, &c.connection, c.format, streams.Out, c.Name)
 }
 
 type targetCommands struct {
@@ -156,10 +174,21 @@
 	Show targetShowCommand `cmd:"" help:"Show one target that an instance knows."`
 }
 
-var targetTable = table[api.TargetStatus]{"TARGET\tSERVICE\tZONE\tSTATE\tVERSION\tSLOTS\tIN FLIGHT", func(w io.Writer, t api.TargetStatus) {
-	fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\n", t.ID, t.Service, t.Zone, t.State,
-		optional.Value(t.WeightVersion), optional.Value(t.Slots), optional.Value(t.InFlight))
-}}
+var targetTable = table[api.TargetStatus]{
+	kind: "target", header: "TARGET\tSERVICE\tZONE\tSTATE\tVERSION\tSLOTS\tIN FLIGHT",
+	row: func(w io.Writer, t api.TargetStatus) {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\n", t.ID, t.Service, t.Zone, t.State,
+			optional.Value(t.WeightVersion), optional.Value(t.Slots), optional.Value(t.InFlight))
+	},
+	name: func(t api.TargetStatus) string { return t.ID },
+	read: func(ctx context.Context, c *connection) ([]api.TargetStatus, error) {
+		status, err := c.status(ctx)
+		if err != nil {
+			return nil, err
+		}
+		return status.Targets, nil
+	},
+}
 
 type targetListCommand struct {
 	connection
@@ -170,17 +199,9 @@
 
 // Run prints the targets that match the flags.
 func (c *targetListCommand) Run(ctx context.Context, streams Streams) error {
-	status, err := c.status(ctx)
-	if err != nil {
-		return err
-	}
-	var targets []api.TargetStatus
-	for _, t := range status.Targets {
-		if (c.Service == "" || t.Service == c.Service) && (c.Zone == "" || t.Zone == c.Zone) {
-			targets = append(targets, t)
-		}
-	}
-	return targetTable.print(streams.Out, c.format, targets)
+	return targetTable.list(ctx, &c.connection, c.format, streams.Out, func(t api.TargetStatus) bool {
+		return (c.Service == "" || t.Service == c.Service) && (c.Zone == "" || t.Zone == c.Zone)
+	})
 }
 
 type targetShowCommand struct {
@@ -191,15 +212,7 @@
 
 // Run prints one target.
 func (c *targetShowCommand) Run(ctx context.Context, streams Streams) error {
-	status, err := c.status(ctx)
-	if err != nil {
-		return err
-	}
-	found, err := one(status.Targets, "target", c.ID, func(t api.TargetStatus) bool { return t.ID == c.ID })
-	if err != nil {
-		return err
-	}
-	return targetTable.print(streams.Out, c.format, found)
+	return targetTable.show(ctx, &c.connection, c.format, streams.Out, c.ID)
 }
 
 type usageCommands struct {
@@ -207,9 +220,20 @@
 	Show usageShowCommand `cmd:"" help:"Show what an instance has served one team since its start."`
 }
 
-var usageTable = table[api.TeamStatus]{"TEAM\tSERVICE\tSERVED\tWAITING\tIN FLIGHT", func(w io.Writer, t api.TeamStatus) {
-	fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\n", t.Team, t.Service, optional.Value(t.Served), optional.Value(t.Waiting), optional.Value(t.InFlight))
-}}
+var usageTable = table[api.TeamStatus]{
+	kind: "team", header: "TEAM\tSERVICE\tSERVED\tWAITING\tIN FLIGHT",
+	row: func(w io.Writer, t api.TeamStatus) {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\n", t.Team, t.Service, optional.Value(t.Served), optional.Value(t.Waiting), optional.Value(t.InFlight))
+	},
+	name: func(t api.TeamStatus) string { return t.Team },
+	read: func(ctx context.Context, c *connection) ([]api.TeamStatus, error) {
+		status, err := c.status(ctx)
+		if err != nil {
+			return nil, err
+		}
+		return status.Teams, nil
+	},
+}
 
 type usageListCommand struct {
 	connection
@@ -218,11 +242,7 @@
 
 // Run prints all teams.
 func (c *usageListCommand) Run(ctx context.Context, streams Streams) error {
-	status, err := c.status(ctx)
-	if err != nil {
-		return err
-	}
-	return usageTable.print(streams.Out, c.format, status.Teams)
+	return usageTable.list(ctx, &c.connection, c.format, streams.Out, all)
 }
 
 type usageShowCommand struct {
@@ -233,13 +253,5 @@
 
 // Run prints one team.
 func (c *usageShowCommand) Run(ctx context.Context, streams Streams) error {
-	status, err := c.status(ctx)
-	if err != nil {
-		return err
-	}
-	found, err := one(status.Teams, "team", c.Team, func(t api.TeamStatus) bool { return t.Team == c.Team })
-	if err != nil {
-		return err
-	}
-	return usageTable.print(streams.Out, c.format, found)
+	return usageTable.show(ctx, &c.connection, c.format, streams.Out, c.Team)
 }
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -16,14 +16,10 @@
 	for _, i := range s.Instances {
 		fmt.Fprintf(w, "%s\t%s\t%d\t%t\t%s\n", i.ID, i.Zone, i.Revision, optional.Value(i.Leaving), contactText(i.ContactAgeMs))
 	}
-	fmt.Fprintln(w, "\nTARGET\tSERVICE\tZONE\tSTATE\tVERSION\tSLOTS")
-	for _, t := range s.Targets {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\n", t.ID, t.Service, t.Zone, t.State, optional.Value(t.WeightVersion), optional.Value(t.Slots))
-	}
-	fmt.Fprintln(w, "\nTEAM\tSERVICE\tSERVED\tWAITING\tIN FLIGHT")
-	for _, t := range s.Teams {
-		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\n", t.Team, t.Service, optional.Value(t.Served), optional.Value(t.Waiting), optional.Value(t.InFlight))
-	}
+	fmt.Fprintln(w)
+	targetTable.writeTo(w, s.Targets)
+	fmt.Fprintln(w)
+	usageTable.writeTo(w, s.Teams)
 	fmt.Fprintln(w, "\nLEASE\tTERM\tHELD HERE\tHOLDER")
 	for _, l := range s.Leases {
 		holder := ""
