placement: remove Pool.Observe, which nothing calls

Cause: versions named in answers do not reach placement; only a test called the function.

Change: the function and the row of the test that called it are removed.

Measured: the tests of placement and batch pass.

--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -163,13 +163,6 @@
 	}
 }
 
-// Observe records the version that an engine named in an answer.
-func (p *Pool) Observe(id string, version int) {
-	if e := p.engines[id]; e != nil && version > e.Version {
-		e.Version = version
-	}
-}
-
 func (e *engine) usable(minVersion int, now time.Time) bool {
 	return e.listed && e.Version >= minVersion && e.running < e.Slots && !now.Before(e.notBefore)
 }
--- a/internal/placement/pool_test.go
+++ b/internal/placement/pool_test.go
@@ -30,7 +30,6 @@
 		{"free", Engine{ID: "a", Slots: 1, Version: 3, Assigned: true}, func(*Pool) {}, true},
 		{"assigned to another model", Engine{ID: "a", Slots: 1, Version: 3}, func(*Pool) {}, true},
 		{"old weights", Engine{ID: "a", Slots: 1, Version: 2, Assigned: true}, func(*Pool) {}, false},
-		{"newer weights seen in an answer", Engine{ID: "a", Slots: 1, Version: 2, Assigned: true}, func(p *Pool) { p.Observe("a", 3) }, true},
 		{"full", Engine{ID: "a", Slots: 1, Version: 3, Assigned: true}, func(p *Pool) { p.Begin("a", "g") }, false},
 		{"refused lately", Engine{ID: "a", Slots: 1, Version: 3, Assigned: true}, func(p *Pool) {
 			p.Begin("a", "g")
