--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -68,7 +68,10 @@
 
 // NewList returns an empty list.
 func NewList(log zerolog.Logger) *List {
-	return &List{log: log, own: suspects{}, reported: map[string]suspects{}, cleared: map[uint64]time.Time{}, changes: make(chan struct{}, 1)}
+	return &List{
+		log: log, own: suspects{}, reported: map[string]suspects{}, cleared: map[uint64]time.Time{},
+		changes: make(chan struct{}, 1),
+	}
 }
 
 // Refuses reports whether a request must not run, because it broke too many targets.
--- a/internal/quarantine/worker.go
+++ b/internal/quarantine/worker.go
@@ -115,6 +115,7 @@
 		}
 		now := time.Now()
 		w.options.List.Learn(instance, report, now)
-		w.options.Log.Info().Str("reporter", instance).Int("crashes", len(report.Crashes)).Int("completed", len(report.Completed)).Int("known", w.options.List.Count(now)).Int("revision", c.Revision).Msg(event.CrashesLearned)
+		w.options.Log.Info().Str("reporter", instance).Int("crashes", len(report.Crashes)).Int("completed", len(report.Completed)).
+			Int("known", w.options.List.Count(now)).Int("revision", c.Revision).Msg(event.CrashesLearned)
 	}
 }
