batch: assign engines once a round; one check of a job's team

Cause, found by reading the change: each round of placement dealt all engines to models and listed them anew for every open job, although jobs of one model share a pool and all models of a service one assignment. A round runs every 50 to 150 ms and after each end of an item. The check that a job exists and belongs to the caller's team stood three times, the list of owned jobs twice.

Change: one assignment for each service and one list for each model in a round; recordOf and ownedJobs replace the copies. The comment on versions that go back names the case that is left.

--- a/internal/batch/accept.go
+++ b/internal/batch/accept.go
@@ -136,16 +136,10 @@
 }
 
 func (s *Service) tryEnd(ctx context.Context, id, team string) error {
-	k, err := s.record(ctx, id)
-	if errors.Is(err, api.ErrNotFound) {
-		return ErrUnknownJob
-	}
+	k, err := s.recordOf(ctx, id, team)
 	if err != nil {
 		return err
 	}
-	if k.Team != team {
-		return ErrOtherTeam
-	}
 	if k.Ended {
 		return nil
 	}
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -1,7 +1,11 @@
 package batch
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -36,11 +40,7 @@
 // round places what can be placed now and returns the wait until the next round; 0 means until a change.
 func (s *Service) round() time.Duration {
 	s.mu.Lock()
-	jobs := make([]*ownedJob, 0, len(s.owned))
-	for _, o := range s.owned {
-		jobs = append(jobs, o)
-	}
-	draining := s.draining
+	jobs, draining := s.ownedJobs(), s.draining
 	s.mu.Unlock()
 	if len(jobs) == 0 || draining {
 		return 0
@@ -61,30 +61,51 @@
 	return pause
 }
 
+// ownedJobs returns the jobs that this instance runs. The lock is held.
+func (s *Service) ownedJobs() []*ownedJob { return slices.Collect(maps.Values(s.owned)) }
+
+// sortJobs puts the jobs in the order in which they get engines: the oldest first.
+func sortJobs(jobs []*ownedJob) {
+	slices.SortFunc(jobs, func(a, b *ownedJob) int {
+		return cmp.Or(a.job.Submitted.Compare(b.job.Submitted), strings.Compare(a.job.ID, b.job.ID))
+	})
+}
+
+// setEngines gives the pool of each model the engines that may run its items.
 func (s *Service) setEngines(jobs []*ownedJob, targets []live.Target) {
+	services := map[string]string{}
+	for _, o := range jobs {
+		services[o.job.Model] = o.job.Service
+	}
+	engines := map[string][]live.Target{}
+	for _, t := range targets {
+		if !t.Draining {
+			engines[t.Service] = append(engines[t.Service], t)
+		}
+	}
+	assigned := map[string]map[string]string{}
 	config := s.options.View.Config()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, o := range jobs {
-		var engines []live.Target
-		for _, t := range targets {
-			if t.Service == o.job.Service && !t.Draining {
-				engines = append(engines, t)
-			}
-		}
-		var models []string
-		if config != nil {
-			models = config.Services[o.job.Service].Models
+	for model, service := range services {
+		if assigned[service] == nil {
+			assigned[service] = s.options.Assigned(engines[service], modelsOf(config, service))
 		}
-		assigned := s.options.Assigned(engines, models)
-		listed := make([]placement.Engine, 0, len(engines))
-		for _, t := range engines {
+		listed := make([]placement.Engine, 0, len(engines[service]))
+		for _, t := range engines[service] {
 			listed = append(listed, placement.Engine{
-				ID: t.ID, Slots: t.Slots, Version: t.Versions[o.job.Model], Assigned: assigned[t.ID] == o.job.Model, Born: t.Born,
+				ID: t.ID, Slots: t.Slots, Version: t.Versions[model], Assigned: assigned[service][t.ID] == model, Born: t.Born,
 			})
 		}
-		s.poolLocked(o.job.Model).SetEngines(listed)
+		s.poolLocked(model).SetEngines(listed)
+	}
+}
+
+func modelsOf(config *live.Config, service string) []string {
+	if config == nil {
+		return nil
 	}
+	return config.Services[service].Models
 }
 
 func (s *Service) poolLocked(model string) *placement.Pool {
--- a/internal/batch/read.go
+++ b/internal/batch/read.go
@@ -31,16 +31,10 @@
 
 // Read returns results from position after on. It waits up to the given time for the first one.
 func (s *Service) Read(ctx context.Context, id, team string, after int, longPoll time.Duration) (Page, error) {
-	k, err := s.record(ctx, id)
-	if errors.Is(err, api.ErrNotFound) {
-		return Page{}, ErrUnknownJob
-	}
+	k, err := s.recordOf(ctx, id, team)
 	if err != nil {
 		return Page{}, err
 	}
-	if k.Team != team {
-		return Page{}, ErrOtherTeam
-	}
 	deadline := time.Now().Add(longPoll)
 	for {
 		results, err := s.results(ctx, id, after)
@@ -78,18 +72,25 @@
 	return results, nil
 }
 
+// recordOf returns the row of a team's job.
+func (s *Service) recordOf(ctx context.Context, id, team string) (knownJob, error) {
+	k, err := s.record(ctx, id)
+	switch {
+	case errors.Is(err, api.ErrNotFound):
+		return knownJob{}, ErrUnknownJob
+	case err != nil:
+		return knownJob{}, err
+	case k.Team != team:
+		return knownJob{}, ErrOtherTeam
+	}
+	return k, nil
+}
+
 // ItemBody returns the body of an item.
 func (s *Service) ItemBody(ctx context.Context, id, team, item string) ([]byte, error) {
-	k, err := s.record(ctx, id)
-	if errors.Is(err, api.ErrNotFound) {
-		return nil, ErrUnknownJob
-	}
-	if err != nil {
+	if _, err := s.recordOf(ctx, id, team); err != nil {
 		return nil, err
 	}
-	if k.Team != team {
-		return nil, ErrOtherTeam
-	}
 	job, err := s.items(ctx, id)
 	if err != nil {
 		return nil, err
--- a/internal/batch/takeover.go
+++ b/internal/batch/takeover.go
@@ -1,7 +1,6 @@
 package batch
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"slices"
@@ -28,13 +27,6 @@
 	watchInterval = 100 * time.Millisecond
 )
 
-// sortJobs puts the jobs in the order in which they get engines: the oldest first.
-func sortJobs(jobs []*ownedJob) {
-	slices.SortFunc(jobs, func(a, b *ownedJob) int {
-		return cmp.Or(a.job.Submitted.Compare(b.job.Submitted), strings.Compare(a.job.ID, b.job.ID))
-	})
-}
-
 // heartbeat writes this instance's heartbeat row while it owns jobs.
 func (s *Service) heartbeat(ctx context.Context) {
 	for wait.Sleep(ctx, heartbeatInterval) {
@@ -248,10 +240,7 @@
 func (s *Service) Drain(ctx context.Context) {
 	s.mu.Lock()
 	s.draining = true
-	owned := make([]*ownedJob, 0, len(s.owned))
-	for _, o := range s.owned {
-		owned = append(owned, o)
-	}
+	owned := s.ownedJobs()
 	s.mu.Unlock()
 	for _, o := range owned {
 		o.release(ctx)
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -147,7 +147,7 @@
 		if e.Born != l.Born {
 			e.failures, e.notBefore, e.pace = 0, time.Time{}, 0
 		}
-		// An answer may have named a newer version than the list does yet.
+		// An engine whose entry lapsed may come back with an older description of the same run.
 		if e.Born == l.Born && e.Version > l.Version {
 			l.Version = e.Version
 		}
