live, batch: take decisions out of the adapter

Cause, found by reading: platform/ says that it decides nothing, yet it kept the timers of targets whose entries lapse in an outage, checked routes, keys and sizes, and held the time limits of attempts and of runs.

--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -45,7 +45,16 @@
 	Later bool
 }
 
-// Runner sends items to engines. It calls sink for each event in order; an error of sink ends the run.
+const (
+	// FirstEventTimeout is how long an engine may take to the first event of an item, with its place in the queue.
+	FirstEventTimeout = 1500 * time.Millisecond
+	// EventTimeout is how long a pause between two events may last. Events are 40 to 140 ms apart, one pause in a
+	// thousand items is longer than 0.43 s, and an item that goes on elsewhere loses less than that.
+	EventTimeout = 600 * time.Millisecond
+)
+
+// Runner sends items to engines. It calls sink for each event in order; an error of sink ends the run, and so does an
+// engine that exceeds FirstEventTimeout or EventTimeout.
 type Runner interface {
 	Run(ctx context.Context, run Run, sink func(Event) error) Ending
 }
--- /dev/null
+++ b/internal/live/admit_test.go
@@ -0,0 +1,50 @@
+package live
+
+import (
+	"testing"
+	"time"
+
+	"github.com/egretspar/egretspar/internal/outcome"
+)
+
+// Guards against a request that is let in without a route or key or above a limit, and a proper one that is refused.
+func TestAdmit(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(*Request)
+		reason outcome.Reason
+		team   string
+	}{
+		{"proper", func(*Request) {}, "", "team"},
+		{"at the limits", func(r *Request) { r.Header, r.Body = 100, 1000 }, "", "team"},
+		{"public without key", func(r *Request) { r.Host, r.Key = "other.example", "" }, "", ""},
+		{"no route", func(r *Request) { r.Path = "/c/" }, outcome.ServiceUnknown, ""},
+		{"no key", func(r *Request) { r.Key = "" }, outcome.KeyInvalid, ""},
+		{"wrong key", func(r *Request) { r.Key = "other" }, outcome.KeyInvalid, ""},
+		{"header too large", func(r *Request) { r.Header = 101 }, outcome.RequestTooLarge, ""},
+		{"body too large", func(r *Request) { r.Body = 1001 }, outcome.RequestTooLarge, ""},
+		{"body of unknown size", func(r *Request) { r.Body = -1 }, "", "team"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			config := testConfig()
+			config.Limits = Limits{Header: 100, Body: 1000}
+			r := Request{Host: "h.example", Path: "/a/x", Key: "secret", Header: 50, Body: 10}
+			c.change(&r)
+			_, team, refusal := config.Admit(r)
+			if refusal == nil && c.reason != "" || refusal != nil && refusal.Reason != c.reason || team.Name != c.team {
+				t.Errorf("team %q, refusal %+v", team.Name, refusal)
+			}
+		})
+	}
+}
+
+// Guards against a wait for a silent target that takes the whole time of a request.
+func TestAttemptTimeout(t *testing.T) {
+	for objective, want := range map[time.Duration]time.Duration{
+		0: 200 * time.Millisecond, 50 * time.Millisecond: 200 * time.Millisecond, 400 * time.Millisecond: 800 * time.Millisecond,
+	} {
+		if got := (Route{Objective: objective}).AttemptTimeout(); got != want {
+			t.Errorf("objective %v: %v, want %v", objective, got, want)
+		}
+	}
+}
