forward: name the attempts of a request that failed

Cause: the line of a request that was repeated named its last target and the number of attempts only, so an on-call engineer could not see which target lost the first one.

Change: the report lists failed attempts with their reason; the line has them in the field "failed".

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -165,6 +165,12 @@
 	Report func(Report)
 }
 
+// FailedAttempt is an attempt of a plain request that gave no answer.
+type FailedAttempt struct {
+	Target string
+	Reason outcome.RetryReason
+}
+
 // Report tells how a call ended, for usage and logs.
 type Report struct {
 	Outcome outcome.Outcome
@@ -175,6 +181,8 @@
 	Tokens int
 	// Attempts is the number of targets that were tried.
 	Attempts int
+	// Failed lists the attempts of a plain request that gave no answer, in their order.
+	Failed []FailedAttempt
 	// Busy is the time that targets spent on the request.
 	Busy time.Duration
 }
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -170,6 +170,7 @@
 			x.breakage.completed()
 			return nil
 		}
+		x.report.Failed = append(x.report.Failed, FailedAttempt{Target: chosen.ID, Reason: end.retry})
 		if x.next != nil {
 			continue
 		}
@@ -281,7 +282,7 @@
 	x.started = true
 	if x.otherFor(response, chosen) {
 		done(target.Refused)
-		return ending{result: target.Refused}
+		return ending{result: target.Refused, retry: outcome.RetryRefused}
 	}
 	return x.answer(ctx, response, done)
 }
