weights: order engines that failed first

An engine that failed was put behind all that had not, so its retries, up to 3.75 s of waits and new loads, began when the others were through. Which orders fail was also not the same in each run, as the comment of the emulated engines says: an order that the weight store was too busy for drew from the engine's generator too, and their number depends on scheduling.

Change: engines with the most failures come first; one that keeps failing is quarantined after five tries as before. In the test an order that is refused as busy draws nothing; a failed load now takes one of the store's fetches, which is stricter.

--- a/internal/weights/plan.go
+++ b/internal/weights/plan.go
@@ -167,7 +167,8 @@
 	return actions
 }
 
-// waiting returns the engines that need work now, those with fewer failures first.
+// waiting returns the engines that need work now, those with the most failures first: an engine that failed needs the
+// longest time, and after maxTries it waits in quarantine.
 func (p *Planner) waiting(now time.Time) []*engineState {
 	var found []*engineState
 	for _, e := range p.engines {
@@ -177,7 +178,7 @@
 		}
 	}
 	slices.SortFunc(found, func(a, b *engineState) int {
-		return cmp.Or(cmp.Compare(a.failures, b.failures), cmp.Compare(a.target.ID, b.target.ID))
+		return cmp.Or(cmp.Compare(b.failures, a.failures), cmp.Compare(a.target.ID, b.target.ID))
 	})
 	return found
 }
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -28,8 +28,8 @@
 type fakeEngine struct {
 	version, loaded, start, term int
 	broken                       bool
-	// rng decides which orders fail. Each engine has its own, so that the order in which goroutines run does not
-	// change which.
+	// rng decides which orders fail. Each engine has its own, and orders that the weight store is too busy for draw
+	// nothing, so that the order in which goroutines run does not change which.
 	rng *rand.Rand
 }
 
@@ -90,14 +90,14 @@
 		return api.ErrFenced
 	}
 	e.term = o.Term
+	if o.Phase == engine.PhaseLoad && !e.broken && !f.admit() {
+		f.busy++
+		return ErrBusy
+	}
 	if e.broken || e.rng.Float64() < f.faults {
 		return errors.New("order failed")
 	}
 	if o.Phase == engine.PhaseLoad {
-		if !f.admit() {
-			f.busy++
-			return ErrBusy
-		}
 		time.AfterFunc(time.Duration(float64(fleetFetch)*(0.8+0.4*e.rng.Float64())), func() { f.set(func() { e.loaded = o.Version }) })
 		return nil
 	}
