batch: reward calls for items whose result needs a score

Cause: results were listed without the score of the item's reward call; nothing on the platform's path made one.

--- a/internal/batch/fake_test.go
+++ b/internal/batch/fake_test.go
@@ -398,6 +398,8 @@
 
 func (noCounter) CountRefusal(outcome.Reason)    {}
 func (noCounter) CountRetry(outcome.RetryReason) {}
+func (noCounter) CountRewardAttempt(string)      {}
+func (noCounter) ObserveReward(float64)          {}
 
 // testInstance is one instance in a test; kill simulates its crash.
 type testInstance struct {
@@ -411,12 +413,14 @@
 	t      *testing.T
 	store  *fakeStore
 	runner *fakeRunner
+	// scorer serves the reward calls of all instances.
+	scorer *fakeScorer
 	view   *live.View
 	wg     conc.WaitGroup
 }
 
 func newCluster(t *testing.T) *cluster {
-	c := &cluster{t: t, store: newFakeStore(), runner: newFakeRunner(), view: live.NewView()}
+	c := &cluster{t: t, store: newFakeStore(), runner: newFakeRunner(), scorer: newFakeScorer(), view: live.NewView()}
 	for i := range 4 {
 		c.view.SetTarget(live.Target{
 			ID: fmt.Sprint("e", i), Service: testService, Slots: 8, Versions: map[string]int{testModel: 1},
@@ -439,7 +443,7 @@
 			}
 			return all
 		},
-		Counter: noCounter{}, Log: zerolog.Nop(), Now: time.Now,
+		Rewards: c.scorer, RewardMetrics: noCounter{}, Counter: noCounter{}, Log: zerolog.Nop(), Now: time.Now,
 	})
 	c.wg.Go(func() { _ = n.Run(ctx) })
 	return n
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -32,6 +32,8 @@
 	Tokens int
 	// Estimate is the expected number of output tokens; 0 means unknown.
 	Estimate int
+	// Reward is the request that returns the score of the item's text; nil means that the result has no score.
+	Reward *Reward
 }
 
 // Job is a batch of items as a caller submitted it, with the settings that apply to all of them.
@@ -67,6 +69,8 @@
 	// Output holds the data of all events, separated by line feeds.
 	Output   string `json:"output"`
 	Versions []int  `json:"versions,omitempty"`
+	// Score is the score that the item's reward call returned.
+	Score string `json:"score,omitempty"`
 }
 
 // Text is the part of an item's output that has been generated so far.
--- a/internal/batch/owned.go
+++ b/internal/batch/owned.go
@@ -89,7 +89,7 @@
 	}
 	o.mu.Lock()
 	o.textLoaded = true
-	o.progress.applyTexts(texts)
+	o.progress.applyTexts(texts, time.Now())
 	used := 0
 	for _, s := range o.progress.items {
 		if s.text.Last > 0 {
@@ -102,6 +102,7 @@
 	}
 	o.signalAppend()
 	o.service.Wake()
+	o.service.wakeRewards()
 }
 
 // textCandidates returns the names of the objects that may contain text for a job: those of the ended
@@ -146,7 +147,7 @@
 	o.stopped = true
 	o.record.Ended = r.Ended
 	texts := o.progress.textsOfOpenGroups()
-	listed, open := o.progress.listedCount, o.progress.openCount
+	listed, open, unscored := o.progress.listedCount, o.progress.openCount, len(o.progress.awaitingReward)
 	o.mu.Unlock()
 	o.cancel()
 	s := o.service
@@ -154,7 +155,7 @@
 	delete(s.owned, o.job.ID)
 	s.mu.Unlock()
 	s.options.Log.Info().Str("job", o.job.ID).Int("step", o.job.Step).Bool("ended", r.Ended).Str("owner", r.Owner).
-		Int("listed", listed).Int("open", open).Int("kept", len(texts)).Msg(event.JobStopped)
+		Int("listed", listed).Int("open", open).Int("unscored", unscored).Int("kept", len(texts)).Msg(event.JobStopped)
 	if !r.Ended || len(texts) == 0 {
 		return
 	}
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -216,6 +216,7 @@
 		Int("after", run.LastEvent).Int("last", last).Int("tokens", run.Item.Tokens).Int("estimate", run.Item.Estimate).Int("crashes", crashes).Dur("pause", meter.longestInterval).Dur("elapsed", now.Sub(startedAt)).Msg(event.ItemRunEnded)
 	o.signalAppend()
 	s.Wake()
+	s.wakeRewards()
 }
 
 // intervalEvents is the number of events over which the interval between events is averaged.
--- a/internal/batch/progress.go
+++ b/internal/batch/progress.go
@@ -8,6 +8,7 @@
 
 	"github.com/egretspar/egretspar/internal/outcome"
 	"github.com/egretspar/egretspar/internal/placement"
+	"github.com/egretspar/egretspar/internal/reward"
 )
 
 // Ending is the way in which one run of an item ended.
@@ -55,8 +56,16 @@
 	// savedBytes is the length of the output up to savedEvent.
 	savedBytes int
 	done       bool
-	// textComplete is set when the text is the whole output of the item.
-	textComplete bool
+	// textComplete is set when the text is the whole output of the item. savedComplete is set when a stored segment says
+	// so.
+	textComplete, savedComplete bool
+	// textEndedAt is when this instance learned that the text is complete.
+	textEndedAt time.Time
+	// reward is the state of the item's reward call, rewardRunning is set while an attempt is running, and rewardTarget
+	// is the target of the last attempt.
+	reward        reward.Call
+	rewardRunning bool
+	rewardTarget  string
 	// failures counts the runs that an engine reported as failed, crashes those that broke before the first event.
 	failures int
 	crashes  int
@@ -73,6 +82,8 @@
 	items map[string]*itemState
 	// pending holds the items to run, in the order in which they start.
 	pending []*itemState
+	// awaitingReward holds items whose text is complete and whose score is not known yet.
+	awaitingReward []*itemState
 	// unlisted holds results that are not in the list yet.
 	unlisted    []Result
 	listedCount int
@@ -154,12 +165,13 @@
 	p.dropDonePending()
 }
 
+// dropDonePending removes the items from pending that need no run.
 func (p *progress) dropDonePending() {
-	p.pending = slices.DeleteFunc(p.pending, func(s *itemState) bool { return s.done })
+	p.pending = slices.DeleteFunc(p.pending, func(s *itemState) bool { return s.done || s.textComplete })
 }
 
 // applyTexts sets the texts of items to stored texts that the job can use.
-func (p *progress) applyTexts(texts map[string]storedText) {
+func (p *progress) applyTexts(texts map[string]storedText, now time.Time) {
 	for id, t := range texts {
 		s := p.items[id]
 		if s == nil || s.done {
@@ -171,7 +183,7 @@
 		}
 		s.text = t.Text
 		if t.Whole {
-			p.completeItem(s)
+			p.completeText(s, now)
 		}
 	}
 	p.dropDonePending()
@@ -202,7 +214,7 @@
 	}
 	switch ending {
 	case Complete:
-		p.completeItem(s)
+		p.completeText(s, now)
 		return ""
 	case Impossible:
 		p.failItem(s)
@@ -254,8 +266,13 @@
 	p.addResult(s, Result{ID: s.item.ID, Failed: true})
 }
 
-func (p *progress) completeItem(s *itemState) {
-	s.textComplete = true
+// completeText records that an item's text is complete. An item with a reward request still needs its score.
+func (p *progress) completeText(s *itemState, now time.Time) {
+	s.textComplete, s.textEndedAt = true, now
+	if s.item.Reward != nil {
+		p.awaitingReward = append(p.awaitingReward, s)
+		return
+	}
 	p.addResult(s, Result{ID: s.item.ID, Output: string(s.text.Output), Versions: s.text.Versions})
 }
 
@@ -272,7 +289,7 @@
 			p.failItem(s)
 		}
 	}
-	p.pending = nil
+	p.pending, p.awaitingReward = nil, nil
 }
 
 // storedText is the text of an item as stored for later jobs and owners. Whole is set when the text is complete.
@@ -318,26 +335,30 @@
 }
 
 // segment is the part of an item's text from the event after After up to Last. Versions are those of the text up to
-// Last.
+// Last. Whole is set when the text ends with Last.
 type segment struct {
 	After    int
 	Output   []byte
 	Last     int
 	Versions []int
+	Whole    bool
 }
 
 // takeUnsaved returns the segments that are not stored yet and marks them as stored.
 func (p *progress) takeUnsaved() map[string]segment {
 	segments := map[string]segment{}
 	for id, s := range p.items {
-		if s.done || s.text.Last == s.savedEvent {
+		if s.done || s.text.Last == s.savedEvent && s.textComplete == s.savedComplete {
 			continue
 		}
 		if s.savedEvent > s.text.Last {
 			s.savedEvent, s.savedBytes = 0, 0
 		}
-		segments[id] = segment{After: s.savedEvent, Output: slices.Clone(s.text.Output[s.savedBytes:]), Last: s.text.Last, Versions: slices.Clone(s.text.Versions)}
-		s.savedEvent, s.savedBytes = s.text.Last, len(s.text.Output)
+		segments[id] = segment{
+			After: s.savedEvent, Output: slices.Clone(s.text.Output[s.savedBytes:]), Last: s.text.Last, Versions: slices.Clone(s.text.Versions),
+			Whole: s.textComplete,
+		}
+		s.savedEvent, s.savedBytes, s.savedComplete = s.text.Last, len(s.text.Output), s.textComplete
 	}
 	return segments
 }
@@ -347,6 +368,6 @@
 func (p *progress) markUnsaved(segments map[string]segment) {
 	for id := range segments {
 		s := p.items[id]
-		s.savedEvent, s.savedBytes = 0, 0
+		s.savedEvent, s.savedBytes, s.savedComplete = 0, 0, false
 	}
 }
--- a/internal/batch/segments.go
+++ b/internal/batch/segments.go
@@ -95,8 +95,8 @@
 	}
 	reads.Wait()
 	for id, t := range joinSegments(loaded) {
-		if current := texts[id]; !current.Whole && t.Last > current.Text.Last {
-			texts[id] = storedText{Text: t}
+		if current := texts[id]; !current.Whole && (t.Whole || t.Text.Last > current.Text.Last) {
+			texts[id] = t
 		}
 	}
 }
@@ -110,7 +110,8 @@
 
 // segmentChain joins the segments of one item and one term to its text.
 type segmentChain struct {
-	text Text
+	text  Text
+	whole bool
 	// hasGap is set when a segment is missing. Later segments are ignored until one begins at the start of the text.
 	hasGap bool
 }
@@ -126,14 +127,14 @@
 	default:
 		c.text.Output = append(c.text.Output, s.Output...)
 	}
-	c.text.Last, c.text.Versions = s.Last, s.Versions
+	c.text.Last, c.text.Versions, c.whole = s.Last, s.Versions, s.Whole
 }
 
 // joinSegments returns the longest text of each item. It joins only segments of the same term, in the order in which
 // they were stored: owners of different terms, and earlier jobs, may have restarted the item, and a text must not
 // combine parts of different generations.
-func joinSegments(loaded []storedSegments) map[string]Text {
-	longest := map[string]Text{}
+func joinSegments(loaded []storedSegments) map[string]storedText {
+	longest := map[string]storedText{}
 	chains := map[string]*segmentChain{}
 	term := ""
 	for _, object := range loaded {
@@ -148,8 +149,8 @@
 				chains[id] = c
 			}
 			c.add(s)
-			if c.text.Last > longest[id].Last {
-				longest[id] = c.text
+			if current := longest[id]; !current.Whole && (c.whole || c.text.Last > current.Text.Last) {
+				longest[id] = storedText{Text: c.text, Whole: c.whole}
 			}
 		}
 	}
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -14,6 +14,7 @@
 	"github.com/egretspar/egretspar/internal/outcome"
 	"github.com/egretspar/egretspar/internal/placement"
 	"github.com/egretspar/egretspar/internal/platform/api"
+	"github.com/egretspar/egretspar/internal/reward"
 )
 
 // Store is the subset of the platform's table service and object store that jobs need. All rows of one job are in
@@ -72,8 +73,11 @@
 	View    *live.View
 	// AssignModels returns, by target ID, the model whose new weights each target loads.
 	AssignModels func(targets []live.Target, models []string) map[string]string
-	Counter      outcome.Counter
-	Log          zerolog.Logger
+	// Rewards and RewardMetrics are needed only for items with reward requests.
+	Rewards       RewardCaller
+	RewardMetrics RewardMetrics
+	Counter       outcome.Counter
+	Log           zerolog.Logger
 	// Now returns the time of a clock that keeps counting while the machine is suspended.
 	Now func() time.Time
 }
@@ -95,11 +99,13 @@
 	pools map[string]*placement.Pool
 	// takingOver marks jobs whose takeover is in progress.
 	takingOver map[string]bool
-	// wake triggers the next round of placement.
-	wake     chan struct{}
-	draining bool
-	cache    *jobCache
-	tasks    conc.WaitGroup
+	// rewardLimiters limits the concurrent reward calls, by service.
+	rewardLimiters map[string]*reward.Limiter
+	// wake triggers the next round of placement, rewardWake the next round of reward calls.
+	wake, rewardWake chan struct{}
+	draining         bool
+	cache            *jobCache
+	tasks            conc.WaitGroup
 	// taskCtx is the context of all background tasks; cancelTasks cancels it when Run ends.
 	taskCtx     context.Context
 	cancelTasks context.CancelFunc
@@ -123,7 +129,8 @@
 		options: options,
 		rows:    map[string]jobRow{}, lastHeartbeat: map[string]time.Time{}, owned: map[string]*ownedJob{},
 		pools: map[string]*placement.Pool{}, takingOver: map[string]bool{},
-		wake: make(chan struct{}, 1), cache: newJobCache(),
+		rewardLimiters: map[string]*reward.Limiter{},
+		wake:           make(chan struct{}, 1), rewardWake: make(chan struct{}, 1), cache: newJobCache(),
 	}
 	s.taskCtx, s.cancelTasks = context.WithCancel(context.Background())
 	s.jobFollower = follow.New(follow.Options{Table: jobTable, Source: options.Store, Apply: s.applyJobs, Log: options.Log, Now: options.Now, MaxInterval: follow.UrgentMaxInterval})
@@ -138,6 +145,7 @@
 	wg.Go(func() { _ = s.jobFollower.Run(ctx) })
 	wg.Go(func() { _ = s.ownerFollower.Run(ctx) })
 	wg.Go(func() { s.placementLoop(ctx) })
+	wg.Go(func() { s.rewardLoop(ctx) })
 	wg.Go(func() { s.heartbeatLoop(ctx) })
 	wg.Go(func() { s.watchOwners(ctx) })
 	wg.Wait()
--- a/internal/batch/service_test.go
+++ b/internal/batch/service_test.go
@@ -335,7 +335,7 @@
 		{"another term is longer", []storedSegments{newSegments("1a", 0, 9), newSegments("2b", 0, 12), newSegments("2b", 12, 13)}, "2b", 13},
 	}
 	for _, tc := range cases {
-		if got := joinSegments(tc.segments)["i"]; got.Last != tc.last || string(got.Output) != string(text(tc.run, 1, tc.last)) {
+		if got := joinSegments(tc.segments)["i"].Text; got.Last != tc.last || string(got.Output) != string(text(tc.run, 1, tc.last)) {
 			t.Errorf("%s: joined text ends with event %d and is %q, which is not the expected text", tc.name, got.Last, got.Output)
 		}
 	}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -46,6 +46,7 @@
 	ResultsAppended           Name = "results appended"
 	ResultsRead               Name = "results read"
 	ResultsReadFailed         Name = "results not read"
+	RewardAttemptEnded        Name = "reward attempt ended"
 	SettingsReadFailed        Name = "settings not read, the previous ones stay in force"
 	SettingsReloaded          Name = "settings reloaded"
 	Started                   Name = "instance started"
@@ -115,6 +116,7 @@
 	ResultsAppended:           "results were appended; `position`, `results`, `open`, `term`",
 	ResultsRead:               "a caller read results; `after`, `results`",
 	ResultsReadFailed:         "a caller's request for results failed",
+	RewardAttemptEnded:        "one attempt of an item's reward call ended; `reward` is its request id, `target`, `ending`, `status`, `gave_up` if the item fails, `waited` since the end of the text",
 	SettingsReadFailed:        "the settings file is missing or invalid; the process continues with the previous settings",
 	SettingsReloaded:          "memory, grace period and job lifetime apply at once; `restart` says that other settings changed, which take effect after a restart",
 	Started:                   "the process serves requests",
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -50,31 +50,38 @@
 // ServePlain forwards one request to a plain service. If the response breaks after its header was sent, it
 // panics with http.ErrAbortHandler, so that the caller sees a broken connection and not a truncated response.
 func (p *Plain) ServePlain(w http.ResponseWriter, r *http.Request, call Call) {
+	x := p.newExchange(w, r, call)
+	if refusal := x.serve(); refusal != nil {
+		x.refuse(refusal)
+		return
+	}
+	x.call.report(x.report)
+}
+
+func (p *Plain) newExchange(w http.ResponseWriter, r *http.Request, call Call) *exchange {
 	x := &exchange{plain: p, call: call, caller: r, writer: newCallerWriter(w, r, p.options.Limits.WriteTimeout)}
 	x.failures = failureTracker{options: &p.options}
 	x.route = call.Route
 	x.route.Service = call.Service.Name
 	x.route.Exclude = append([]string(nil), call.Route.Exclude...)
-	ctx, cancel := x.requestContext(r.Context())
+	return x
+}
+
+// serve forwards the request and its response, or returns the refusal that ends the call.
+func (x *exchange) serve() *outcome.Refusal {
+	ctx, cancel := x.requestContext(x.caller.Context())
 	defer cancel()
 	if refusal := x.validate(); refusal != nil {
-		x.refuse(refusal)
-		return
+		return refusal
 	}
 	if refusal := x.prepareRequest(); refusal != nil {
-		x.refuse(refusal)
-		return
+		return refusal
 	}
 	x.failures.fingerprint = x.fingerprint()
 	if refusal := x.failures.checkQuarantine(); refusal != nil {
-		x.refuse(refusal)
-		return
-	}
-	if refusal := x.run(ctx); refusal != nil {
-		x.refuse(refusal)
-		return
+		return refusal
 	}
-	x.call.report(x.report)
+	return x.run(ctx)
 }
 
 // fingerprint returns a hash of the request. It returns 0 if the body was not read whole or there is no quarantine.
@@ -375,10 +382,8 @@
 
 // refuse ends the call with a refusal. Its outcome is not_run only if no target can have run the request.
 func (x *exchange) refuse(refusal *outcome.Refusal) {
-	if x.mayHaveRun {
-		refusal = refusal.WithOutcome(outcome.Unknown)
-	} else {
-		refusal = refusal.WithOutcome(outcome.NotRun)
+	refusal = refusal.WithOutcome(x.refusalOutcome())
+	if refusal.Outcome == outcome.NotRun {
 		x.releaseClaim()
 	}
 	x.plain.options.Counter.CountRefusal(refusal.Reason)
@@ -393,6 +398,14 @@
 	x.plain.options.Dialect.Refuse(x.writer, x.call.RequestID, refusal)
 }
 
+// refusalOutcome returns the outcome of a refused call.
+func (x *exchange) refusalOutcome() outcome.Outcome {
+	if x.mayHaveRun {
+		return outcome.Unknown
+	}
+	return outcome.NotRun
+}
+
 func (x *exchange) releaseClaim() {
 	if x.call.Claim == nil {
 		return
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -25,6 +25,9 @@
 	requests  metric.Int64Counter
 	queueWait metric.Float64Histogram
 	callTime  metric.Float64Histogram
+	// rewardAttempts and rewardTime describe reward calls.
+	rewardAttempts metric.Int64Counter
+	rewardTime     metric.Float64Histogram
 	// The attribute sets are built once, because building one for each request would allocate.
 	refusalOptions map[outcome.Reason]metric.AddOption
 	retryOptions   map[outcome.RetryReason]metric.AddOption
@@ -47,7 +50,7 @@
 }
 
 func (m *Metrics) createInstruments() error {
-	var errs [5]error
+	var errs [7]error
 	m.refusals, errs[0] = m.meter.Int64Counter("egretspar.refusals", metric.WithDescription("Refused requests by reason."))
 	m.retries, errs[1] = m.meter.Int64Counter("egretspar.retries", metric.WithDescription("Repeated attempts by reason."))
 	m.requests, errs[2] = m.meter.Int64Counter("egretspar.requests", metric.WithDescription("Finished requests by service, team and outcome."))
@@ -57,6 +60,10 @@
 	m.callTime, errs[4] = m.meter.Float64Histogram("egretspar.served", metric.WithUnit("s"),
 		metric.WithDescription("Time to the end of a call by kind and service."),
 		metric.WithExplicitBucketBoundaries(0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 4, 8, 16))
+	m.rewardAttempts, errs[5] = m.meter.Int64Counter("egretspar.reward.attempts", metric.WithDescription("Attempts of reward calls by ending."))
+	m.rewardTime, errs[6] = m.meter.Float64Histogram("egretspar.reward.wait", metric.WithUnit("s"),
+		metric.WithDescription("Time from the end of an item's text to its score."),
+		metric.WithExplicitBucketBoundaries(0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 4, 8))
 	for _, err := range errs {
 		if err != nil {
 			return errors.WithStack(err)
@@ -121,6 +128,14 @@
 		attribute.String("kind", kind), attribute.String("service", service)))
 }
 
+// CountRewardAttempt counts an attempt of a reward call by its ending.
+func (m *Metrics) CountRewardAttempt(ending string) {
+	m.rewardAttempts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("ending", ending)))
+}
+
+// ObserveReward records the seconds from the end of an item's text to its score.
+func (m *Metrics) ObserveReward(seconds float64) { m.rewardTime.Record(context.Background(), seconds) }
+
 // Gauge registers a gauge that is read at each export.
 func (m *Metrics) Gauge(name, description string, read func() int64) error {
 	_, err := m.meter.Int64ObservableGauge(name, metric.WithDescription(description),
