batch: tests count the runs of items whose text is whole

Cause: two mutations (segments that do not say that a text is whole, whole texts that stay pending) passed the tests. Change: the check also counts runs; an unneeded guard of the reward loop is gone. Conclusion: the promise 'never generated again' is tested for runs, too.

--- a/internal/batch/reward.go
+++ b/internal/batch/reward.go
@@ -103,9 +103,6 @@
 	round := &rewardRound{config: s.options.View.Config(), capacities: rewardCapacities(s.options.View.Targets()), now: now}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.draining {
-		return 0
-	}
 	jobs := s.ownedJobsLocked()
 	sortJobs(jobs)
 	for _, o := range jobs {
--- a/internal/batch/reward_test.go
+++ b/internal/batch/reward_test.go
@@ -138,12 +138,15 @@
 	}
 }
 
-// checkNotGeneratedAgain checks that engines generated each event of an item's text once.
+// checkNotGeneratedAgain checks that engines ran an item once and generated each event of its text once.
 func (c *cluster) checkNotGeneratedAgain(item string, events int) {
 	c.t.Helper()
 	if n := c.runner.eventCount(item); n != events {
 		c.t.Errorf("engines generated %d events of %s, want %d", n, item, events)
 	}
+	if n := len(c.runner.runs(item)); n != 1 {
+		c.t.Errorf("engines ran %s %d times, want once", item, n)
+	}
 }
 
 // Guards against results without a score, against a reward call before the end of the text, and against rewards that
