--- a/internal/batch/fake_test.go
+++ b/internal/batch/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -312,6 +313,8 @@
 	mu sync.Mutex
 	// eventIntervals is the time between two events, by engine; the default is 40 ms.
 	eventIntervals map[string]time.Duration
+	// endlessEngines send events without end.
+	endlessEngines map[string]bool
 	// lengths is the number of events, by item; the default is 10.
 	lengths map[string]int
 	// endings holds the endings of the next runs, by item; later runs complete.
@@ -326,7 +329,7 @@
 
 func newFakeRunner() *fakeRunner {
 	return &fakeRunner{
-		eventIntervals: map[string]time.Duration{}, lengths: map[string]int{}, endings: map[string][]Ending{}, eventCounts: map[string]int{}, version: 1,
+		eventIntervals: map[string]time.Duration{}, endlessEngines: map[string]bool{}, lengths: map[string]int{}, endings: map[string][]Ending{}, eventCounts: map[string]int{}, version: 1,
 	}
 }
 
@@ -346,6 +349,9 @@
 	if length == 0 {
 		length = 10
 	}
+	if f.endlessEngines[run.Target.ID] {
+		length = math.MaxInt
+	}
 	if queue := f.endings[run.Item.ID]; len(queue) > 0 {
 		ending, f.endings[run.Item.ID] = queue[0], queue[1:]
 	}
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -262,6 +262,17 @@
 // SingleVersion.
 var ErrVersionNotAllowed = errors.New("weight version is not allowed by the job")
 
+// errTextTooLong ends a run whose engine sends more text than the item can have.
+var errTextTooLong = errors.New("text is longer than the item allows")
+
+// maxTextBytes keeps a result with its text within the limit of one row of the table.
+const maxTextBytes = 56 << 10
+
+// isTooLong reports whether an event exceeds the text that an item can have. An event holds at least one token.
+func (s *itemState) isTooLong(e Event) bool {
+	return len(s.text.Output)+len(e.Data) > maxTextBytes || s.item.Tokens > 0 && e.ID > s.item.Tokens
+}
+
 // appendEvent appends an event to an item's text if the job still runs and allows the event's weight version.
 func (o *ownedJob) appendEvent(item *itemState, e Event) error {
 	o.mu.Lock()
@@ -277,6 +288,11 @@
 		item.text = Text{}
 		return ErrVersionNotAllowed
 	}
+	if item.isTooLong(e) {
+		// It is unknown which part of the text is valid.
+		item.text = Text{}
+		return errTextTooLong
+	}
 	return item.text.Append(e)
 }
 
--- a/internal/batch/service_test.go
+++ b/internal/batch/service_test.go
@@ -591,3 +591,29 @@
 		})
 	}
 }
+
+// Guards against an engine that holds an item with events without end, whose text cannot be stored, and against a result
+// that contains such text.
+func TestEndlessTextIsDropped(t *testing.T) {
+	for _, eventSize := range []int{0, 4000} {
+		t.Run(fmt.Sprint("events of ", eventSize, " bytes"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t)
+				c.runner.eventSize = eventSize
+				c.runner.endlessEngines["e0"] = true
+				a := c.start("a/1")
+				defer c.stop(a)
+				job := newJob("job", 16)
+				for i := range job.Items {
+					job.Items[i].Tokens = 50
+				}
+				start := time.Now()
+				accept(t, a, job)
+				c.checkResults(job, c.readAll(a, job))
+				if elapsed := time.Since(start); elapsed > 10*time.Second {
+					t.Errorf("the job took %v", elapsed)
+				}
+			})
+		})
+	}
+}
--- a/internal/forward/event_reader.go
+++ b/internal/forward/event_reader.go
@@ -31,8 +31,6 @@
 	firstLineRead bool
 	// midEvent reports whether a part of an unfinished event was read.
 	midEvent bool
-	// onLine is called for each line, including comments.
-	onLine func()
 	// onField is called for each field other than data; it may be nil.
 	onField func(name, value []byte)
 }
@@ -40,10 +38,10 @@
 // EventReader reads server-sent events and reports fields other than data.
 type EventReader struct{ *eventReader }
 
-// NewEventReader returns a reader that accepts lines and events up to the given limits. Next calls onLine for each
-// line and onField for each field other than data.
-func NewEventReader(r io.Reader, limits Limits, onLine func(), onField func(name, value []byte)) EventReader {
-	reader := newEventReader(r, limits.MaxLineBytes, limits.MaxEventBytes, onLine)
+// NewEventReader returns a reader that accepts lines and events up to the given limits. Next calls onField for each
+// field other than data.
+func NewEventReader(r io.Reader, limits Limits, onField func(name, value []byte)) EventReader {
+	reader := newEventReader(r, limits.MaxLineBytes, limits.MaxEventBytes)
 	reader.onField = onField
 	return EventReader{reader}
 }
@@ -63,8 +61,8 @@
 const lineBufferSize = 2 << 10
 
 // newEventReader returns a reader that accepts lines and events up to the given sizes.
-func newEventReader(r io.Reader, maxLine, maxEvent int, onLine func()) *eventReader {
-	return &eventReader{lines: bufio.NewReaderSize(r, lineBufferSize), maxLine: maxLine, maxEvent: maxEvent, onLine: onLine}
+func newEventReader(r io.Reader, maxLine, maxEvent int) *eventReader {
+	return &eventReader{lines: bufio.NewReaderSize(r, lineBufferSize), maxLine: maxLine, maxEvent: maxEvent}
 }
 
 // next returns the data of the next event, which is valid until the following call. If the body ends before the
@@ -105,9 +103,6 @@
 	if err != nil {
 		return nil, err
 	}
-	if r.onLine != nil {
-		r.onLine()
-	}
 	if !r.firstLineRead {
 		r.firstLineRead = true
 		line = bytes.TrimPrefix(line, byteOrderMark)
--- a/internal/forward/event_reader_test.go
+++ b/internal/forward/event_reader_test.go
@@ -11,7 +11,7 @@
 
 // readAll returns the events of a stream and the error that ended it.
 func readAll(r io.Reader) ([]string, error) {
-	events := newEventReader(r, 5000, 6000, nil)
+	events := newEventReader(r, 5000, 6000)
 	var all []string
 	for {
 		data, err := events.next()
--- a/internal/forward/generator.go
+++ b/internal/forward/generator.go
@@ -290,11 +290,13 @@
 	return request
 }
 
-// streamChunks processes the chunks of one response until the done event.
+// streamChunks processes the chunks of one response until the done event. Only tokens reset stallTimer: comments and
+// empty chunks are no progress.
 func (g *Generator) streamChunks(run *generation, body io.Reader, chosen target.Target, stallTimer *time.Timer) error {
 	limits := g.options.Limits
-	events := newEventReader(body, limits.MaxLineBytes, limits.MaxEventBytes, func() { stallTimer.Reset(limits.StallTimeout) })
+	events := newEventReader(body, limits.MaxLineBytes, limits.MaxEventBytes)
 	var decoder chunkDecoder
+	stallsAt := time.Now().Add(limits.StallTimeout)
 	for {
 		data, err := events.next()
 		if errors.Is(err, io.EOF) {
@@ -310,10 +312,14 @@
 		}
 		// Time spent in the consumer does not count as a stall of the engine.
 		stallTimer.Stop()
+		produced := run.producedTokens
 		if err := run.acceptChunk(data, &decoder, limits.MaxCompletionBytes, chosen); err != nil {
 			return err
 		}
-		stallTimer.Reset(limits.StallTimeout)
+		if run.producedTokens > produced {
+			stallsAt = time.Now().Add(limits.StallTimeout)
+		}
+		stallTimer.Reset(time.Until(stallsAt))
 	}
 }
 
--- a/internal/platform/rpc/call.go
+++ b/internal/platform/rpc/call.go
@@ -30,6 +30,8 @@
 	maxIdleConnections = 64
 	// maxResponseBytes limits the size of a response; the largest are lists of usage objects.
 	maxResponseBytes = 64 << 20
+	// maxHeaderBytes limits the size of a response header.
+	maxHeaderBytes = 64 << 10
 	// maxAttempts limits the attempts of one call.
 	maxAttempts = 3
 	// retriesPerSecond and retryBurst limit retries, so that an outage does not multiply the load on the platform.
@@ -299,6 +301,7 @@
 	t.Proxy = nil
 	t.DialContext = (&net.Dialer{Timeout: dial}).DialContext
 	t.DisableCompression = true
+	t.MaxResponseHeaderBytes = maxHeaderBytes
 	t.MaxIdleConns = maxIdleConnections
 	t.MaxIdleConnsPerHost = maxIdleConnections
 	return t
