--- a/internal/batch/accept.go
+++ b/internal/batch/accept.go
@@ -7,6 +7,7 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"github.com/egretspar/egretspar/internal/event"
 	"github.com/egretspar/egretspar/internal/platform/api"
 	"github.com/egretspar/egretspar/internal/wait"
 )
@@ -26,7 +27,7 @@
 	maxCommitBackoff = 400 * time.Millisecond
 )
 
-// Accept stores a job and makes this instance its owner. Accepting a job that is stored already has no effect.
+// Accept stores a job and makes this instance, or the owner of the route's previous step, its owner. Accepting a job that is stored already has no effect.
 // After api.ErrUnavailable the job never runs; after any other error it may run.
 func (s *Service) Accept(ctx context.Context, job *Job) error {
 	if accepted, err := s.isAccepted(job); accepted {
@@ -39,7 +40,7 @@
 	}
 	r := jobRecord{
 		Team: job.Team, Route: job.Route, Model: job.Model, Step: job.Step, Total: len(job.Items),
-		Owner: s.options.Instance, Term: 1, Submitted: job.Submitted.UnixMilli(),
+		Owner: s.chooseOwner(job), Term: 1, Submitted: job.Submitted.UnixMilli(),
 	}
 	revision, err := s.createRow(ctx, job.ID, r, items)
 	if errors.Is(err, api.ErrConflict) {
@@ -48,6 +49,13 @@
 	if err != nil {
 		return err
 	}
+	if r.Owner != s.options.Instance {
+		// The owner starts the job when its feed shows the row.
+		s.cache.put(job)
+		s.applyRow(job.ID, r, revision, s.options.Now())
+		s.options.Log.Info().Str("job", job.ID).Str("owner", r.Owner).Int("step", job.Step).Msg(event.JobAssigned)
+		return nil
+	}
 	s.startJob(job, r, revision, nil)
 	return nil
 }
--- /dev/null
+++ b/internal/batch/choose_test.go
@@ -0,0 +1,140 @@
+package batch
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// Guards against steps that go to a new owner although the previous one runs, to one that may be down, and to one that
+// runs other routes too.
+func TestOwnerChoice(t *testing.T) {
+	now := time.Now()
+	row := func(route, model, owner string, step int, ended bool) jobRow {
+		return jobRow{jobRecord: jobRecord{Route: route, Model: model, Owner: owner, Step: step, Ended: ended}}
+	}
+	recent, old := now.Add(-300*time.Millisecond), now.Add(-maxHeartbeatAge-time.Millisecond)
+	cases := []struct {
+		name       string
+		rows       map[string]jobRow
+		heartbeats map[string]time.Time
+		want       string
+	}{
+		{"first step", nil, nil, "self"},
+		{"previous owner runs", map[string]jobRow{"j": row("r", "m", "a", 4, false)}, map[string]time.Time{"a": recent}, "a"},
+		{"previous step has ended", map[string]jobRow{"j": row("r", "m", "a", 4, true)}, map[string]time.Time{"a": recent}, "a"},
+		{"the newest step decides", map[string]jobRow{"i": row("r", "m", "b", 3, false), "j": row("r", "m", "a", 4, false)}, map[string]time.Time{"a": recent, "b": recent}, "a"},
+		{"later steps do not count", map[string]jobRow{"j": row("r", "m", "a", 6, false)}, map[string]time.Time{"a": recent}, "self"},
+		{"no heartbeat for too long", map[string]jobRow{"j": row("r", "m", "a", 4, false)}, map[string]time.Time{"a": old}, "self"},
+		{"no heartbeat yet", map[string]jobRow{"j": row("r", "m", "a", 4, false)}, nil, "self"},
+		{"departed", map[string]jobRow{"j": row("r", "m", "a", 4, false)}, map[string]time.Time{"a": {}}, "self"},
+		{"another model", map[string]jobRow{"j": row("r", "n", "a", 4, false)}, map[string]time.Time{"a": recent}, "self"},
+		{"runs another route", map[string]jobRow{"j": row("r", "m", "a", 4, false), "k": row("s", "m", "a", 1, false)}, map[string]time.Time{"a": recent}, "self"},
+		{"ran another route", map[string]jobRow{"j": row("r", "m", "a", 4, false), "k": row("s", "m", "a", 1, true)}, map[string]time.Time{"a": recent}, "a"},
+	}
+	for _, tc := range cases {
+		c := ownerChoice{self: "self", job: &Job{ID: "new", Route: "r", Model: "m", Step: 5}, rows: tc.rows, lastHeartbeat: tc.heartbeats, now: now}
+		if got := c.owner(); got != tc.want {
+			t.Errorf("%s: owner %q, want %q", tc.name, got, tc.want)
+		}
+	}
+}
+
+func newStep(step, items int) *Job {
+	job := newJob(fmt.Sprint("step", step), items)
+	job.Step = step
+	return job
+}
+
+// Guards against a new owner for each step, which opens connections of its own to all engines: a trainer submits a step
+// every 4 s through any instance.
+func TestStepsStayWithTheirOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		var instances []*testInstance
+		for i := range 8 {
+			instances = append(instances, c.start(fmt.Sprint("n", i, "/1")))
+		}
+		defer c.stop(instances...)
+		for step := range 10 {
+			job := newStep(step, 16)
+			start := time.Now()
+			accept(t, instances[(3*step)%8], job)
+			c.checkResults(job, c.readAll(instances[step%8], job))
+			if elapsed := time.Since(start); elapsed > 900*time.Millisecond {
+				t.Errorf("step %d took %v", step, elapsed)
+			}
+			if err := instances[0].End(t.Context(), job.ID, job.Team); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(4 * time.Second)
+			if row, err := instances[1].refreshRow(t.Context(), job.ID); err != nil || row.Owner != "n0/1" {
+				t.Errorf("step %d: owner %q, error %v", step, row.Owner, err)
+			}
+		}
+	})
+}
+
+// Guards against a step that is lost, or that waits for long, because it was assigned to an owner that fails at that
+// moment.
+func TestAssignedOwnerFails(t *testing.T) {
+	cases := []struct {
+		name string
+		fail func(*testInstance)
+		// delay is the time from the failure to the next step.
+		delay time.Duration
+		limit time.Duration
+	}{
+		{"killed just before", func(n *testInstance) { n.kill() }, 0, 4 * time.Second},
+		{"killed before", func(n *testInstance) { n.kill() }, maxHeartbeatAge + 300*time.Millisecond, 1500 * time.Millisecond},
+		{"cut off from the store", func(n *testInstance) { n.link.setBlocked(true) }, 0, 4 * time.Second},
+		{"drains", func(n *testInstance) { n.Drain(context.Background()) }, 0, 2 * time.Second},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t)
+				a, b, d := c.start("a/1"), c.start("b/1"), c.start("d/1")
+				defer c.stop(a, b, d)
+				first := newStep(0, 16)
+				accept(t, a, first)
+				c.checkResults(first, c.readAll(b, first))
+				tc.fail(a)
+				time.Sleep(tc.delay)
+				second := newStep(1, 16)
+				start := time.Now()
+				accept(t, b, second)
+				c.checkResults(second, c.readAll(d, second))
+				if elapsed := time.Since(start); elapsed > tc.limit {
+					t.Errorf("the step took %v", elapsed)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a heartbeat that is under way when its instance departs and replaces the departure, so that other
+// instances wait for the owner timeout.
+func TestHeartbeatDoesNotReplaceDeparture(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		a := c.start("a/1")
+		defer c.stop(a)
+		accept(t, a, newJob("job", 8))
+		// The heartbeat under way takes effect later than its own timeout and the departure.
+		c.store.withLock(func() { c.store.commitLatency = 200 * time.Millisecond })
+		time.Sleep(heartbeatInterval + 50*time.Millisecond)
+		c.store.withLock(func() { c.store.commitLatency = 0 })
+		a.Drain(t.Context())
+		time.Sleep(5 * time.Second)
+		row, err := c.store.Get(t.Context(), ownerTable+"/a/1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if h, err := decodeHeartbeat(row.Value); err != nil || !h.Departed {
+			t.Errorf("row %q, error %v; want a departure", row.Value, err)
+		}
+	})
+}
--- a/internal/batch/fake_test.go
+++ b/internal/batch/fake_test.go
@@ -42,6 +42,8 @@
 	// commits.
 	loseResponses int
 	commitDelay   time.Duration
+	// commitLatency is how long commits take before their effect.
+	commitLatency time.Duration
 	// tooLargeCalls counts commits that exceeded a limit.
 	tooLargeCalls int
 	// hungJobWrites counts commits that would have changed a job's row while the store hung.
@@ -81,6 +83,10 @@
 			f.hungJobWrites++
 		}
 	})
+	f.mu.Lock()
+	latency := f.commitLatency
+	f.mu.Unlock()
+	time.Sleep(latency)
 	if err := f.simulateCall(ctx); err != nil {
 		return 0, err
 	}
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -104,8 +104,13 @@
 	// wake triggers the next round of placement, rewardWake the next round of reward calls.
 	wake, rewardWake chan struct{}
 	draining         bool
-	cache            *jobCache
-	tasks            conc.WaitGroup
+	// ownedJobsAt is when this instance last owned a job.
+	ownedJobsAt time.Time
+	// heartbeatSlot is held by the current write of the heartbeat row. departed is set by the last one.
+	heartbeatSlot chan struct{}
+	departed      bool
+	cache         *jobCache
+	tasks         conc.WaitGroup
 	// taskCtx is the context of all background tasks; cancelTasks cancels it when Run ends.
 	taskCtx     context.Context
 	cancelTasks context.CancelFunc
@@ -129,8 +134,8 @@
 		options: options,
 		rows:    map[string]jobRow{}, lastHeartbeat: map[string]time.Time{}, owned: map[string]*ownedJob{},
 		pools: map[string]*placement.Pool{}, takingOver: map[string]bool{},
-		rewardLimiters: map[string]*reward.Limiter{},
-		wake:           make(chan struct{}, 1), rewardWake: make(chan struct{}, 1), cache: newJobCache(),
+		rewardLimiters: map[string]*reward.Limiter{}, heartbeatSlot: make(chan struct{}, 1),
+		wake: make(chan struct{}, 1), rewardWake: make(chan struct{}, 1), cache: newJobCache(),
 	}
 	s.taskCtx, s.cancelTasks = context.WithCancel(context.Background())
 	s.jobFollower = follow.New(follow.Options{Table: jobTable, Source: options.Store, Apply: s.applyJobs, Log: options.Log, Now: options.Now, MaxInterval: follow.UrgentMaxInterval})
--- a/internal/batch/takeover.go
+++ b/internal/batch/takeover.go
@@ -29,13 +29,13 @@
 	ownerCheckInterval = 100 * time.Millisecond
 )
 
-// heartbeatLoop writes this instance's heartbeat row while it owns jobs.
+// heartbeatLoop writes this instance's heartbeat row while it owns jobs, and for ownerIdleTime after that.
 func (s *Service) heartbeatLoop(ctx context.Context) {
 	for wait.Sleep(ctx, heartbeatInterval) {
 		s.mu.Lock()
-		idle := len(s.owned) == 0
+		needsHeartbeat := s.needsHeartbeatLocked()
 		s.mu.Unlock()
-		if idle {
+		if !needsHeartbeat {
 			continue
 		}
 		if err := s.writeHeartbeat(ctx, s.measurements()); err != nil {
@@ -44,6 +44,15 @@
 	}
 }
 
+// needsHeartbeatLocked reports whether other instances need this instance's heartbeats. The caller holds the lock.
+func (s *Service) needsHeartbeatLocked() bool {
+	now := s.options.Now()
+	if len(s.owned) > 0 {
+		s.ownedJobsAt = now
+	}
+	return !s.ownedJobsAt.IsZero() && now.Sub(s.ownedJobsAt) <= ownerIdleTime
+}
+
 // heartbeat is the value of an owner's heartbeat row.
 type heartbeat struct {
 	// Departed is set when the owner has released its jobs.
@@ -60,8 +69,19 @@
 	return h, errors.Wrap(err, "decode heartbeat")
 }
 
-// writeHeartbeat writes this instance's heartbeat row.
+// writeHeartbeat writes this instance's heartbeat row. Nothing is written after a departure, so that a heartbeat that is
+// under way cannot replace it.
 func (s *Service) writeHeartbeat(ctx context.Context, h heartbeat) error {
+	select {
+	case s.heartbeatSlot <- struct{}{}:
+		defer func() { <-s.heartbeatSlot }()
+	case <-ctx.Done():
+		return errors.WithStack(ctx.Err())
+	}
+	if s.departed {
+		return nil
+	}
+	s.departed = h.Departed
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	_, err := s.options.Store.Commit(ctx, api.Txn{
@@ -248,12 +268,12 @@
 func (s *Service) Drain(ctx context.Context) {
 	s.mu.Lock()
 	s.draining = true
-	owned := s.ownedJobsLocked()
+	owned, hasHeartbeat := s.ownedJobsLocked(), s.needsHeartbeatLocked()
 	s.mu.Unlock()
 	for _, o := range owned {
 		o.release(ctx)
 	}
-	if len(owned) == 0 {
+	if !hasHeartbeat {
 		return
 	}
 	if err := s.writeHeartbeat(ctx, heartbeat{Departed: true}); err != nil {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -26,6 +26,7 @@
 	ItemReadFailed            Name = "item not read"
 	ItemRunEnded              Name = "item run ended"
 	ItemsExpired              Name = "items expired"
+	JobAssigned               Name = "job assigned to the owner of the previous step"
 	JobDecodeFailed           Name = "job row not decoded"
 	JobEndRequested           Name = "job end requested"
 	JobMalformed              Name = "malformed job refused"
@@ -96,6 +97,7 @@
 	ItemReadFailed:            "a caller's request for the body of an item failed",
 	ItemRunEnded:              "one run of an item ended; `target`, `ending`, events `after` and `last`, `crashes`, `pause`, `elapsed`",
 	ItemsExpired:              "open items passed their deadline and are listed as failed",
+	JobAssigned:               "this instance accepted the job, and `owner` runs it",
 	JobDecodeFailed:           "a job's row could not be decoded",
 	JobEndRequested:           "a caller asked to end a job; `error` if that could not be stored",
 	JobMalformed:              "a submitted job was refused as malformed",
