--- a/internal/rollout/generate.go
+++ b/internal/rollout/generate.go
@@ -8,6 +8,7 @@
 
 	"github.com/egretspar/egretspar/internal/engine"
 	"github.com/egretspar/egretspar/internal/outcome"
+	"github.com/egretspar/egretspar/internal/reward"
 	"github.com/egretspar/egretspar/internal/step"
 	"github.com/egretspar/egretspar/internal/wait"
 )
@@ -15,10 +16,9 @@
 const (
 	// bytesPerToken estimates the prompt tokens for usage, since engines do not report them.
 	bytesPerToken = 4
-	// maxScoreAttempts and scoreBackoff limit the calls to a scoring service. The backoff doubles after
-	// each failure. If no attempt succeeds, the sample is delivered without a score.
+	// maxScoreAttempts limits the calls to a scoring service. If no attempt succeeds, the sample is delivered without a
+	// score.
 	maxScoreAttempts = 3
-	scoreBackoff     = 200 * time.Millisecond
 )
 
 var errStopped = errors.New("generation no longer needed")
@@ -137,12 +137,16 @@
 	if !ok {
 		return nil
 	}
-	for try := range maxScoreAttempts {
+	call := reward.Call{}
+	for {
 		value, refusal := s.options.Scorer.Score(ctx, a.key.team, *spec.ScoringService, task.Prompt, record.Text)
 		if refusal == nil {
 			return &value
 		}
-		if !wait.Sleep(ctx, scoreBackoff<<try) {
+		if call.Record(reward.Failed, maxScoreAttempts, time.Now()) == reward.GiveUp {
+			break
+		}
+		if !wait.Sleep(ctx, time.Until(call.NotBefore())) {
 			return nil
 		}
 	}
