--- a/internal/forward/request.go
+++ b/internal/forward/own_request.go
@@ -20,9 +20,9 @@
 	Body   []byte
 }
 
-// Request sends a request of this instance to a plain service, as ServePlain does for a caller's request, and returns
+// DoPlain sends a request of this instance to a plain service, as ServePlain does for a caller's request, and returns
 // the response. After a refusal, the outcome of the report says whether a target may have run the request.
-func (p *Plain) Request(r *http.Request, call Call) (Response, Report, *outcome.Refusal) {
+func (p *Plain) DoPlain(r *http.Request, call Call) (Response, Report, *outcome.Refusal) {
 	buffer := &responseBuffer{header: http.Header{}}
 	x := p.newExchange(buffer, r, call)
 	refusal := x.serve()
--- a/internal/rollout/cluster_test.go
+++ b/internal/rollout/cluster_test.go
@@ -329,7 +329,8 @@
 }
 
 func newCollector(t *testing.T, c *cluster, spec api.StepSpec) *collector {
-	return &collector{t: t, c: c, spec: spec, got: map[[2]int]bool{}}
+	// Samples that were too old for the version at the start are too old for all later ones.
+	return &collector{t: t, c: c, spec: spec, got: map[[2]int]bool{}, version: c.trainerVersion()}
 }
 
 func (k *collector) trainerVersion() int {
--- a/internal/scaling/plan_test.go
+++ b/internal/scaling/plan_test.go
@@ -41,8 +41,8 @@
 	p := NewPlanner()
 	reclaimable, onDemand := sumCounts(p.Plan(begin, threeZones(), testBounds, 228))
 	// 228 items at three quarters of 12 slots need 26 engines; 12 are running.
-	if reclaimable != 12 || onDemand == 0 {
-		t.Logf("reclaimable %d, on demand %d", reclaimable, onDemand)
+	if onDemand != 0 {
+		t.Errorf("%d engines ordered on demand, want none", onDemand)
 	}
 	if reclaimable < 12 || reclaimable > 14 {
 		t.Errorf("%d reclaimable engines, want 12 to 14", reclaimable)
--- a/opsconfig/opsconfig_test.go
+++ b/opsconfig/opsconfig_test.go
@@ -93,8 +93,11 @@
 		t.Fatal(err)
 	}
 	d, err := config.Parse("f", data)
-	if err != nil || d.Services[0].StalenessBound() != 0 {
-		t.Errorf("bound %d, %v", d.Services[0].StalenessBound(), err)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if bound := d.Services[0].StalenessBound(); bound != 0 {
+		t.Errorf("bound %d, want 0", bound)
 	}
 	if bound := (config.Service{}).StalenessBound(); bound != 1 {
 		t.Errorf("default bound %d, want 1", bound)
