forward, batch: target read before its slot is released; the best stored text wins

Cause: runAttempt asked a reservation for its target after Done, when a report may name another target; stored texts of two earlier steps were merged in map order, so a shorter one could replace a whole one. Change: the target is read once before; mergeTexts prefers usable, whole, longer. Measured: forward's tests panic without the change with a reservation that forbids it; TestBestStoredTextIsUsed.

--- a/internal/batch/owned.go
+++ b/internal/batch/owned.go
@@ -80,9 +80,7 @@
 			o.service.options.Log.Warn().Err(err).Str("job", o.job.ID).Str("object", object).Msg(event.TextReadFailed)
 			continue
 		}
-		for id, t := range found {
-			texts[id] = t
-		}
+		mergeTexts(o.job, texts, found)
 	}
 	if o.record.Term > 1 {
 		o.service.loadSegments(ctx, o.job, texts)
@@ -105,6 +103,26 @@
 	o.service.wakeRewards()
 }
 
+// mergeTexts adds the texts of found to texts. Of two texts of one item it keeps the one that saves the job more: a usable
+// one, then a whole one, then the longer one.
+func mergeTexts(job *Job, texts, found map[string]storedText) {
+	for id, t := range found {
+		if current, ok := texts[id]; !ok || isBetterText(job, t, current) {
+			texts[id] = t
+		}
+	}
+}
+
+func isBetterText(job *Job, a, b storedText) bool {
+	if usable := a.Text.isUsableFor(job); usable != b.Text.isUsableFor(job) {
+		return usable
+	}
+	if a.Whole != b.Whole {
+		return a.Whole
+	}
+	return a.Text.Last > b.Text.Last
+}
+
 // textCandidates returns the names of the objects that may contain text for a job: those of the ended
 // jobs of the two previous steps of its route and model, and that of the job's previous term.
 func (s *Service) textCandidates(job *Job, term int) []string {
--- a/internal/batch/service_test.go
+++ b/internal/batch/service_test.go
@@ -617,3 +617,31 @@
 		})
 	}
 }
+
+// Guards against stored text that replaces a better one of the same item: the objects of two earlier steps come in no
+// particular order.
+func TestBestStoredTextIsUsed(t *testing.T) {
+	job := &Job{MinVersion: 3}
+	stored := func(last, version int, whole bool) storedText {
+		return storedText{Text: Text{Output: []byte{byte(last)}, Last: last, Versions: []int{version}}, Whole: whole}
+	}
+	cases := []struct {
+		name          string
+		better, worse storedText
+	}{
+		{"longer", stored(9, 3, false), stored(4, 3, false)},
+		{"whole", stored(4, 3, true), stored(9, 3, false)},
+		{"usable", stored(4, 3, false), stored(9, 2, true)},
+	}
+	for _, tc := range cases {
+		for _, order := range [][]storedText{{tc.better, tc.worse}, {tc.worse, tc.better}} {
+			texts := map[string]storedText{}
+			for _, s := range order {
+				mergeTexts(job, texts, map[string]storedText{"i": s})
+			}
+			if got := texts["i"]; got.Text.Last != tc.better.Text.Last || got.Whole != tc.better.Whole {
+				t.Errorf("%s: kept the text up to event %d, whole %v", tc.name, got.Text.Last, got.Whole)
+			}
+		}
+	}
+}
--- a/internal/forward/fakes_test.go
+++ b/internal/forward/fakes_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -48,7 +49,7 @@
 	}
 	for _, t := range d.targets {
 		if !slices.Contains(request.Exclude, t.ID) {
-			return &fakeReservation{d, t}, nil
+			return &fakeReservation{deps: d, target: t}, nil
 		}
 	}
 	return nil, outcome.Refuse(outcome.NoTarget)
@@ -78,11 +79,19 @@
 type fakeReservation struct {
 	deps   *fakeDeps
 	target target.Target
+	done   atomic.Bool
 }
 
-func (r *fakeReservation) Target() target.Target { return r.target }
+// Target panics after Done: the slot may then belong to another request, and its target may have been replaced.
+func (r *fakeReservation) Target() target.Target {
+	if r.done.Load() {
+		panic("Target called after Done")
+	}
+	return r.target
+}
 
 func (r *fakeReservation) Done(result target.Result, _ time.Duration) {
+	r.done.Store(true)
 	r.deps.mu.Lock()
 	defer r.deps.mu.Unlock()
 	r.deps.results = append(r.deps.results, result)
--- a/internal/forward/generator.go
+++ b/internal/forward/generator.go
@@ -146,13 +146,13 @@
 // runAttempt runs one attempt and releases the slot, even if the consumer panics.
 func (g *Generator) runAttempt(ctx context.Context, run *generation, reserved target.Reservation) attemptResult {
 	result := attemptResult{targetResult: target.Cancelled}
-	begin := time.Now()
+	begin, chosen := time.Now(), reserved.Target()
 	defer func() {
 		elapsed := time.Since(begin)
 		reserved.Done(result.targetResult, elapsed)
-		run.recordAttempt(reserved.Target(), elapsed)
+		run.recordAttempt(chosen, elapsed)
 	}()
-	result = classifyError(ctx, g.attempt(ctx, run, reserved.Target()))
+	result = classifyError(ctx, g.attempt(ctx, run, chosen))
 	return result
 }
 
