step: tokens of another owner's records count as kept

Cause: AddRecord left out the tokens of records of another owner, which recountAsWasted subtracts when they become stale, so the number of kept tokens and with it the hedge budget went negative. Change: adopted records count as kept, what they replace as wasted. Measured: the invariant of the model test fails without the change (-1 after 0 tests) and holds with it.

--- a/internal/step/machine_test.go
+++ b/internal/step/machine_test.go
@@ -73,6 +73,16 @@
 	savedAccepted  map[int]int
 }
 
+// checkCounts checks that no owner counts fewer tokens than it keeps: hedges may generate a share of the kept tokens again,
+// so a negative number would forbid hedging.
+func (m *protocolModel) checkCounts(t *rapid.T) {
+	for i, s := range m.owners {
+		if kept := s.Counts().TokensKept; kept < 0 {
+			t.Fatalf("owner %d keeps %d tokens", i, kept)
+		}
+	}
+}
+
 func newProtocolModel(t *rapid.T) *protocolModel {
 	stalenessMs := rapid.SampledFrom([]int{0, 4000}).Draw(t, "staleness_ms")
 	m := &protocolModel{
@@ -302,7 +312,10 @@
 			},
 			"checkpoint":    func(*rapid.T) { m.checkpoint() },
 			"crash trainer": func(*rapid.T) { m.have, m.accepted = slices.Clone(m.savedHave), m.savedAccepted; m.checkpoint() },
-			"":              m.checkAcceptedOnce,
+			"": func(t *rapid.T) {
+				m.checkAcceptedOnce(t)
+				m.checkCounts(t)
+			},
 		})
 		m.completeWithoutFaults(t)
 	})
--- a/internal/step/step.go
+++ b/internal/step/step.go
@@ -271,15 +271,25 @@
 	}
 	if !r.Complete {
 		if sl.partial == nil || sl.partial.Tokens() < r.Tokens() {
+			s.adoptTokens(sl, r.Tokens())
 			sl.partial = &r
 		}
 		return nil
 	}
 	cancel := s.cancelAttempts(r.Slot)
+	s.adoptTokens(sl, r.Tokens())
 	s.setReady(r.Slot, &r)
 	return cancel
 }
 
+// adoptTokens counts the tokens of a record of another owner, which replaces the slot's partial sequence, as kept.
+func (s *Step) adoptTokens(sl *slot, tokens int) {
+	if sl.partial != nil {
+		s.recountAsWasted(sl.partial)
+	}
+	s.counts.TokensKept += tokens
+}
+
 func (s *Step) setReady(i int, r *Record) {
 	sl := &s.slots[i]
 	sl.ready = r
