batch: a gauge of the items that wait for their score

Cause: no command shows a job on the platform's path, so an operator could not see how many items wait for a reward. Measured: TestRewardsDuringStoreOutage checks it before, during and after the calls.

--- a/internal/batch/reward.go
+++ b/internal/batch/reward.go
@@ -204,6 +204,24 @@
 	s.wakeRewards()
 }
 
+// WaitingRewards returns the number of items of this instance's jobs whose text is complete and whose score is not known
+// yet.
+func (s *Service) WaitingRewards() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	waiting := int64(0)
+	for _, o := range s.owned {
+		o.mu.Lock()
+		for _, item := range o.progress.awaitingReward {
+			if item.awaitsReward() {
+				waiting++
+			}
+		}
+		o.mu.Unlock()
+	}
+	return waiting
+}
+
 // awaitsReward reports whether the item's text is complete and its score is not known yet.
 func (s *itemState) awaitsReward() bool {
 	return s.textComplete && !s.done && s.item.Reward != nil
--- a/internal/batch/reward_test.go
+++ b/internal/batch/reward_test.go
@@ -291,7 +291,18 @@
 		job := newRewardJob("job", 8)
 		accept(t, a, job)
 		c.store.withLock(func() { c.store.hangs = true })
-		time.Sleep(4 * time.Second)
+		time.Sleep(300 * time.Millisecond)
+		if n := a.WaitingRewards(); n != 0 {
+			t.Errorf("%d items wait for a score before the first text ends", n)
+		}
+		time.Sleep(120 * time.Millisecond)
+		if n := a.WaitingRewards(); n != int64(len(job.Items)) {
+			t.Errorf("%d items wait for a score after the texts have ended, want %d", n, len(job.Items))
+		}
+		time.Sleep(3500 * time.Millisecond)
+		if n := a.WaitingRewards(); n != 0 {
+			t.Errorf("%d items still wait for a score", n)
+		}
 		if n := c.scorer.totalAttempts(); n != len(job.Items) {
 			t.Errorf("%d reward calls during the outage, want %d", n, len(job.Items))
 		}
