--- a/internal/batch/accept.go
+++ b/internal/batch/accept.go
@@ -27,8 +27,8 @@
 	maxCommitBackoff = 400 * time.Millisecond
 )
 
-// Accept stores a job and makes this instance, or the owner of the route's previous step, its owner. Accepting a job that is stored already has no effect.
-// After api.ErrUnavailable the job never runs; after any other error it may run.
+// Accept stores a job and makes this instance, or the owner of the route's previous step, its owner. Accepting a job that
+// is stored already has no effect. After api.ErrUnavailable the job never runs; after any other error it may run.
 func (s *Service) Accept(ctx context.Context, job *Job) error {
 	if accepted, err := s.isAccepted(job); accepted {
 		return err
