batch: steps stay with their owner only where engines are many

On 9 instances a failed owner delays both open steps of a trainer, and few connections are saved. Change: the owner of the previous step is kept from 32 engines of the service on.

--- a/internal/batch/choose.go
+++ b/internal/batch/choose.go
@@ -10,6 +10,10 @@
 	// ownerIdleTime is how long an owner continues to write heartbeats after its last job. The next step of a route may
 	// be submitted seconds after the previous one has ended.
 	ownerIdleTime = 10 * time.Second
+	// minEnginesToKeepOwner is the number of engines of a service from which on steps stay with their owner. In a smaller
+	// deployment most instances have open connections from recent steps anyway, and it costs more that a failed owner
+	// delays all open steps of a trainer.
+	minEnginesToKeepOwner = 32
 )
 
 // ownerChoice holds what the choice of a new job's owner depends on.
@@ -19,16 +23,19 @@
 	rows map[string]jobRow
 	// lastHeartbeat is when each owner's heartbeat last changed; the zero time marks an owner that departed.
 	lastHeartbeat map[string]time.Time
-	now           time.Time
+	// engines is the number of engines of the job's service.
+	engines int
+	now     time.Time
 }
 
 // owner returns the instance that should run the job. Steps of a route mostly go to the owner of the previous step: it
 // has open connections to the engines of the route's model and knows their load and speed. Any other instance would open
-// a connection for each item that it runs concurrently. The accepting instance runs the job itself if that owner may be
-// down, leaves, or runs jobs of another route too, so that the routes spread over the instances.
+// a connection for each item that it runs concurrently. The accepting instance runs the job itself if the service
+// has few engines, or if that owner may be down, leaves, or runs jobs of another route too, so that the routes spread over
+// the instances.
 func (c ownerChoice) owner() string {
 	previous, ok := c.previousOwner()
-	if !ok || previous == c.self || !c.isAlive(previous) || c.runsOtherRoute(previous) {
+	if !ok || c.engines < minEnginesToKeepOwner || previous == c.self || !c.isAlive(previous) || c.runsOtherRoute(previous) {
 		return c.self
 	}
 	return previous
@@ -63,7 +70,15 @@
 
 // chooseOwner returns the instance that should run a job that this instance accepts.
 func (s *Service) chooseOwner(job *Job) string {
+	engines := 0
+	for _, t := range s.options.View.Targets() {
+		if t.Service == job.Service {
+			engines++
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return ownerChoice{self: s.options.Instance, job: job, rows: s.rows, lastHeartbeat: s.lastHeartbeat, now: s.options.Now()}.owner()
+	return ownerChoice{
+		self: s.options.Instance, job: job, rows: s.rows, lastHeartbeat: s.lastHeartbeat, engines: engines, now: s.options.Now(),
+	}.owner()
 }
--- a/internal/batch/choose_test.go
+++ b/internal/batch/choose_test.go
@@ -6,9 +6,11 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/egretspar/egretspar/internal/live"
 )
 
-// Guards against steps that go to a new owner although the previous one runs, to one that may be down, and to one that
+// Guards against steps that go to a new owner although the previous one runs and has connections to many engines, to one that may be down, and to one that
 // runs other routes too.
 func TestOwnerChoice(t *testing.T) {
 	now := time.Now()
@@ -35,10 +37,21 @@
 		{"ran another route", map[string]jobRow{"j": row("r", "m", "a", 4, false), "k": row("s", "m", "a", 1, true)}, map[string]time.Time{"a": recent}, "a"},
 	}
 	for _, tc := range cases {
-		c := ownerChoice{self: "self", job: &Job{ID: "new", Route: "r", Model: "m", Step: 5}, rows: tc.rows, lastHeartbeat: tc.heartbeats, now: now}
+		c := ownerChoice{self: "self", job: &Job{ID: "new", Route: "r", Model: "m", Step: 5}, rows: tc.rows, lastHeartbeat: tc.heartbeats, engines: minEnginesToKeepOwner, now: now}
 		if got := c.owner(); got != tc.want {
 			t.Errorf("%s: owner %q, want %q", tc.name, got, tc.want)
 		}
+		c.engines--
+		if got := c.owner(); got != "self" {
+			t.Errorf("%s, few engines: owner %q, want self", tc.name, got)
+		}
+	}
+}
+
+// addEngines adds engines to the four of a new cluster until there are n.
+func (c *cluster) addEngines(n int) {
+	for i := 4; i < n; i++ {
+		c.view.SetTarget(live.Target{ID: fmt.Sprint("e", i), Service: testService, Slots: 8, Versions: map[string]int{testModel: 1}})
 	}
 }
 
@@ -53,6 +66,7 @@
 func TestStepsStayWithTheirOwner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t)
+		c.addEngines(minEnginesToKeepOwner)
 		var instances []*testInstance
 		for i := range 8 {
 			instances = append(instances, c.start(fmt.Sprint("n", i, "/1")))
@@ -96,6 +110,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := newCluster(t)
+				c.addEngines(minEnginesToKeepOwner)
 				a, b, d := c.start("a/1"), c.start("b/1"), c.start("d/1")
 				defer c.stop(a, b, d)
 				first := newStep(0, 16)
