batch: one loop for rounds of work, one check of scored jobs

Cause: rewardLoop repeated the loop of placementLoop and three functions the same non-blocking send; each end of an item copied all targets for a round of rewards, also where no item has one; four tests repeated the same checks. Change: runRounds and signal; a round of rewards ends at once when nothing waits; checkScoredWithoutRerun in the tests, with the same assertions. Conclusion: behaviour is unchanged.

--- a/internal/batch/owned.go
+++ b/internal/batch/owned.go
@@ -142,10 +142,7 @@
 
 // signalAppend wakes appendLoop.
 func (o *ownedJob) signalAppend() {
-	select {
-	case o.appendSignal <- struct{}{}:
-	default:
-	}
+	signal(o.appendSignal)
 }
 
 func (o *ownedJob) setRevision(revision int) {
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -24,18 +24,7 @@
 
 // placementLoop starts items whenever an engine may have a free slot.
 func (s *Service) placementLoop(ctx context.Context) {
-	for {
-		var nextRound <-chan time.Time
-		if pause := s.placeItems(); pause > 0 {
-			nextRound = time.After(pause)
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-s.wake:
-		case <-nextRound:
-		}
-	}
+	runRounds(ctx, s.wake, s.placeItems)
 }
 
 // placeItems starts the items of all owned jobs for which engines have free slots. It returns the time until the next
--- a/internal/batch/reward.go
+++ b/internal/batch/reward.go
@@ -58,26 +58,12 @@
 
 // rewardLoop starts reward calls when texts end, when calls end and when a repetition is due.
 func (s *Service) rewardLoop(ctx context.Context) {
-	for {
-		var nextRound <-chan time.Time
-		if pause := s.startRewards(time.Now()); pause > 0 {
-			nextRound = time.After(pause)
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-s.rewardWake:
-		case <-nextRound:
-		}
-	}
+	runRounds(ctx, s.rewardWake, s.startRewards)
 }
 
 // wakeRewards triggers the next round of rewardLoop.
 func (s *Service) wakeRewards() {
-	select {
-	case s.rewardWake <- struct{}{}:
-	default:
-	}
+	signal(s.rewardWake)
 }
 
 // rewardRound holds what the decisions of one round of rewardLoop depend on.
@@ -99,8 +85,11 @@
 
 // startRewards starts the reward calls of all owned jobs that the limits allow, those of older jobs first. It returns
 // the time until the next round; 0 means that the next round waits for a wake signal.
-func (s *Service) startRewards(now time.Time) time.Duration {
-	round := &rewardRound{config: s.options.View.Config(), capacities: rewardCapacities(s.options.View.Targets()), now: now}
+func (s *Service) startRewards() time.Duration {
+	if s.WaitingRewards() == 0 {
+		return 0
+	}
+	round := &rewardRound{config: s.options.View.Config(), capacities: rewardCapacities(s.options.View.Targets()), now: time.Now()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	jobs := s.ownedJobsLocked()
--- a/internal/batch/reward_test.go
+++ b/internal/batch/reward_test.go
@@ -149,6 +149,17 @@
 	}
 }
 
+// checkScoredWithoutRerun reads a job and checks that its results are whole and scored and that engines ran each item once.
+func (c *cluster) checkScoredWithoutRerun(n *testInstance, job *Job) {
+	c.t.Helper()
+	results := c.readAll(n, job)
+	c.checkResults(job, results)
+	c.checkScores(results)
+	for _, item := range job.Items {
+		c.checkNotGeneratedAgain(item.ID)
+	}
+}
+
 // Guards against results without a score, against a reward call before the end of the text, and against rewards that
 // wait until all texts of the job are complete.
 func TestRewardFollowsItsText(t *testing.T) {
@@ -245,12 +256,7 @@
 				time.Sleep(2500 * time.Millisecond)
 				tc.lose(a)
 				c.scorer.setDelay(30 * time.Millisecond)
-				results := c.readAll(b, job)
-				c.checkResults(job, results)
-				c.checkScores(results)
-				for _, item := range job.Items {
-					c.checkNotGeneratedAgain(item.ID)
-				}
+				c.checkScoredWithoutRerun(b, job)
 			})
 		})
 	}
@@ -272,12 +278,7 @@
 		time.Sleep(1500 * time.Millisecond)
 		a.kill()
 		c.scorer.setDelay(30 * time.Millisecond)
-		results := c.readAll(b, job)
-		c.checkResults(job, results)
-		c.checkScores(results)
-		for _, item := range job.Items {
-			c.checkNotGeneratedAgain(item.ID)
-		}
+		c.checkScoredWithoutRerun(b, job)
 	})
 }
 
@@ -340,12 +341,7 @@
 			second.Items[i].ID, second.Items[i].Reward.ID = first.Items[i].ID, first.Items[i].Reward.ID
 		}
 		accept(t, b, second)
-		results := c.readAll(a, second)
-		c.checkResults(second, results)
-		c.checkScores(results)
-		for _, item := range second.Items {
-			c.checkNotGeneratedAgain(item.ID)
-		}
+		c.checkScoredWithoutRerun(a, second)
 	})
 }
 
@@ -373,12 +369,7 @@
 					t.Errorf("%d reward calls without a usable target", n)
 				}
 				tc.back(c)
-				results := c.readAll(a, job)
-				c.checkResults(job, results)
-				c.checkScores(results)
-				for _, item := range job.Items {
-					c.checkNotGeneratedAgain(item.ID)
-				}
+				c.checkScoredWithoutRerun(a, job)
 			})
 		})
 	}
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -161,10 +161,7 @@
 
 // Wake triggers a round of placement, for example after a change of the engines.
 func (s *Service) Wake() {
-	select {
-	case s.wake <- struct{}{}:
-	default:
-	}
+	signal(s.wake)
 }
 
 // applyJobs applies changes of job rows.
