lease: the restart test lets the candidate finish what is due

Traced: the takeover falls on exactly 1.7 s of virtual time, and the test read Held at that instant before or after the candidate ran, then 20 ms later; 121 of 200 runs showed it. Change: the test waits for the candidate at each instant, as waitForTakeover does, and looks each millisecond; the bounds stay as they are. Conclusion: the order of goroutines in the test, not the lease.

--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -258,10 +258,11 @@
 			second, stop := newRun(1)
 			start := time.Now()
 			for time.Since(start) < 10*time.Second {
+				synctest.Wait() // lets the candidate finish what is due at this time
 				if _, held := second.Held(time.Now()); held {
 					break
 				}
-				time.Sleep(20 * time.Millisecond)
+				time.Sleep(time.Millisecond)
 			}
 			waited := time.Since(start)
 			term, _ := second.Held(time.Now())
