targetlimit, platform: limits that targets name are decoded, logged and counted

Cause: nothing shows which target names which limit, so the hypotheses of the incident cannot be told apart. Change: the header is decoded at the one place that sees all responses; a log line when an instance first sees a limit, another one or its end, a line at each start of an item's run, a gauge, and tools/checklogs, which recounts the requests of all instances against the limits. Nothing is held back yet.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -25,6 +25,7 @@
 	ItemMoved                 Name = "item moved to another engine"
 	ItemReadFailed            Name = "item not read"
 	ItemRunEnded              Name = "item run ended"
+	ItemRunStarted            Name = "item run started"
 	ItemsExpired              Name = "items expired"
 	JobAssigned               Name = "job assigned to the owner of the previous step"
 	JobDecodeFailed           Name = "job row not decoded"
@@ -60,6 +61,9 @@
 	TargetCrashed             Name = "target crashed or disconnected while it ran a request"
 	TargetDecodeFailed        Name = "target entry not decoded"
 	TargetEntryExpired        Name = "target entry expired around an outage, target kept for now"
+	TargetLimitBegan          Name = "target names a limit"
+	TargetLimitDecodeFailed   Name = "limit of a target not decoded"
+	TargetLimitEnded          Name = "target no longer names a limit"
 	TargetRemoved             Name = "target removed"
 	TargetsOrdered            Name = "targets ordered"
 	TextListFailed            Name = "stored text not listed, items restart"
@@ -98,6 +102,7 @@
 	ItemMoved:                 "an item's run was cancelled so that the item continues at another engine; `from`, `to`, `last` event, expected `remaining` events",
 	ItemReadFailed:            "a caller's request for the body of an item failed",
 	ItemRunEnded:              "one run of an item ended; `target`, `ending`, events `after` and `last`, `crashes`, `pause`, `elapsed`",
+	ItemRunStarted:            "an item was sent to `target`, to continue after event `after`; `job`, `item`",
 	ItemsExpired:              "open items passed their deadline and are listed as failed",
 	JobAssigned:               "this instance accepted the job, and `owner` runs it",
 	JobDecodeFailed:           "a job's row could not be decoded",
@@ -133,6 +138,9 @@
 	TargetCrashed:             "a target crashed or disconnected while it ran the request with this hash; from the third target on the request is refused",
 	TargetDecodeFailed:        "a target entry could not be decoded and is not used",
 	TargetEntryExpired:        "a target's entry vanished near an outage of the store; the target is used for 2.2 s more",
+	TargetLimitBegan:          "a response of `target` to this instance names a limit that it had not named here before; `limit` in requests a second, `status`",
+	TargetLimitDecodeFailed:   "a response of `target` names a limit that is no number; what it named before stays in force",
+	TargetLimitEnded:          "a response of `target` to this instance names its limit no more",
 	TargetRemoved:             "a target's entry was removed",
 	TargetsOrdered:            "the lease holder ordered a number of engines; `load`, `count`, `term`",
 	TextListFailed:            "a takeover could not list stored text",
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -52,6 +52,7 @@
 	limits    Limits
 	// requestIDHeader names the header that carries the request ID.
 	requestIDHeader string
+	observeResponse func(request *http.Request, response *http.Response, sentAt time.Time)
 	// pools maps the URL of each target to its *targetPool.
 	pools sync.Map
 }
@@ -68,7 +69,7 @@
 	if tlsConfig == nil {
 		tlsConfig = &tls.Config{MinVersion: tls.VersionTLS12}
 	}
-	c := &client{limits: options.Limits, requestIDHeader: options.Dialect.RequestIDHeader}
+	c := &client{limits: options.Limits, requestIDHeader: options.Dialect.RequestIDHeader, observeResponse: options.Dialect.ObserveResponse}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	c.transport = &http.Transport{
@@ -181,6 +182,7 @@
 	if u, ok := request.Body.(*upload); ok {
 		connection.setUpload(u)
 	}
+	sentAt := time.Now()
 	response, err := connection.clientConn.RoundTrip(request)
 	if err != nil {
 		stage := stageSent
@@ -198,6 +200,9 @@
 		connection.closeClientConn()
 		return nil, &sendError{stage: stageSent, cause: errors.New("response belongs to another request")}
 	}
+	if c.observeResponse != nil {
+		c.observeResponse(request, response, sentAt)
+	}
 	connection.readKeepAlive(response.Header)
 	if response.StatusCode < http.StatusOK {
 		// The request did not ask for a protocol switch (101), and statuses below 100 are invalid.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -115,6 +115,8 @@
 	PrepareHeader func(header http.Header, t target.Target, remaining time.Duration)
 	// ReportsNotRun reports whether a response guarantees that the target has not run the request. It may be nil.
 	ReportsNotRun func(response *http.Response) bool
+	// ObserveResponse is called for each response that belongs to its request. It may be nil.
+	ObserveResponse func(request *http.Request, response *http.Response, sentAt time.Time)
 	// RetryServerErrors enables retries of idempotent requests after any status of 500 or above, not only after 503.
 	RetryServerErrors bool
 	// Refuse sends a refusal to a caller.
--- a/internal/live/view.go
+++ b/internal/live/view.go
@@ -96,6 +96,14 @@
 	v.signalChange()
 }
 
+// Target returns the target with an id.
+func (v *View) Target(id string) (Target, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	t, ok := v.targets[id]
+	return t, ok
+}
+
 // Targets returns all targets in no particular order.
 func (v *View) Targets() []Target {
 	v.mu.Lock()
--- /dev/null
+++ b/internal/targetlimit/table.go
@@ -0,0 +1,141 @@
+// Package targetlimit keeps the rates that targets in need name in their responses: the requests a second that a target
+// takes from all instances together. It does no I/O except in Worker, and has no clock.
+package targetlimit
+
+import (
+	"math"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Observation is what one response of a target says about its limit.
+type Observation struct {
+	Target, Service string
+	// Named is set when the response names a limit, which is Rate.
+	Named bool
+	// Rate is in requests a second.
+	Rate float64
+	// SentAt is when the request was sent.
+	SentAt time.Time
+}
+
+// Change tells how an observation changed what is known of a target.
+type Change int
+
+const (
+	// Unchanged means that the target says what it said before.
+	Unchanged Change = iota
+	// Began means that this instance sees a limit, or another one than before.
+	Began
+	// Ended means that the target no longer names a limit.
+	Ended
+)
+
+const (
+	// observationTTL is how long a limit is kept that no instance has seen again. Nobody uses the target then.
+	observationTTL = 30 * time.Second
+	// maxTargets limits the limited targets that are tracked.
+	maxTargets = 4096
+)
+
+// entry is what is known of one target that named a limit.
+type entry struct {
+	service string
+	rate    float64
+	// namedAt is when any instance last saw the limit. endedAt is when one saw that it is no longer named; the zero time
+	// while it is named.
+	namedAt, endedAt time.Time
+	// ownNamedAt and ownEndedAt are what this instance saw itself.
+	ownNamedAt, ownEndedAt time.Time
+	ownRate                float64
+}
+
+// Table holds the limits that targets name. It is safe for concurrent use.
+type Table struct {
+	mu      sync.Mutex
+	targets map[string]*entry
+}
+
+// NewTable returns a table without limits.
+func NewTable() *Table {
+	return &Table{targets: map[string]*entry{}}
+}
+
+// ParseRate returns the rate that a header names, in requests a second. Of several values the lowest counts. It returns
+// false if no value is a number that a rate can have.
+func ParseRate(values []string) (float64, bool) {
+	lowest, ok := math.Inf(1), false
+	for _, value := range values {
+		rate, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+		if err == nil && rate >= 0 && rate < lowest {
+			lowest, ok = rate, true
+		}
+	}
+	return lowest, ok
+}
+
+// Observe records what a response says.
+func (t *Table) Observe(o Observation, now time.Time) Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.targets[o.Target]
+	if !o.Named {
+		// A response to a request that was sent before the limit was named proves nothing.
+		if e == nil || !e.endedAt.IsZero() || o.SentAt.Before(e.namedAt) {
+			return Unchanged
+		}
+		e.endedAt, e.ownEndedAt = now, now
+		return Ended
+	}
+	if e == nil {
+		t.evict(now)
+		if len(t.targets) >= maxTargets {
+			return Unchanged
+		}
+		e = &entry{service: o.Service}
+		t.targets[o.Target] = e
+	}
+	change := Unchanged
+	if e.ownNamedAt.IsZero() || e.ownEndedAt.After(e.ownNamedAt) || e.ownRate != o.Rate {
+		change = Began
+	}
+	e.rate, e.namedAt, e.endedAt = o.Rate, now, time.Time{}
+	e.ownRate, e.ownNamedAt = o.Rate, now
+	return change
+}
+
+// evict removes the limits that no instance has seen for a while.
+func (t *Table) evict(now time.Time) {
+	for id, e := range t.targets {
+		if now.Sub(e.namedAt) > observationTTL {
+			delete(t.targets, id)
+		}
+	}
+}
+
+// Rate returns the limit that a target names, and false if it names none.
+func (t *Table) Rate(target string) (float64, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.targets[target]
+	if e == nil || !e.endedAt.IsZero() {
+		return 0, false
+	}
+	return e.rate, true
+}
+
+// Count returns the number of targets that name a limit.
+func (t *Table) Count(now time.Time) int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.evict(now)
+	count := int64(0)
+	for _, e := range t.targets {
+		if e.endedAt.IsZero() {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/tools/checklogs/limits.go
@@ -0,0 +1,145 @@
+package main
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/egretspar/egretspar/internal/event"
+)
+
+const (
+	// limitWindow is the time over which requests to a target that names a limit are counted.
+	limitWindow = 4 * time.Second
+	// limitGrace is the time from the first naming of a limit until it has to be kept.
+	limitGrace = 3 * time.Second
+	// limitSlack requests beyond limitFactor times the limit are allowed in a window.
+	limitSlack  = 5
+	limitFactor = 1.5
+	// knownAfter is the time from an instance's first response with a limit from which on its requests count.
+	knownAfter = 500 * time.Millisecond
+)
+
+// sent is one request that an instance sent to a target.
+type sent struct {
+	at       time.Time
+	instance string
+}
+
+// naming is a change of the limit that an instance saw. The rate is negative when the limit ended.
+type naming struct {
+	at       time.Time
+	instance string
+	rate     float64
+}
+
+// checkLimits counts the requests of all instances to each target that named a limit, in each window in which some
+// instance still saw the limit. An instance counts from knownAfter its first response with a limit.
+func checkLimits(lines []line) []string {
+	requests, namings := map[string][]sent{}, map[string][]naming{}
+	for _, l := range lines {
+		instance := l.fields["instance"]
+		switch l.fields["event"] {
+		case event.TargetLimitBegan:
+			rate, err := strconv.ParseFloat(l.fields["limit"], 64)
+			if err == nil {
+				target := l.fields["target"]
+				namings[target] = append(namings[target], naming{l.at, instance, rate})
+			}
+		case event.TargetLimitEnded:
+			target := l.fields["target"]
+			namings[target] = append(namings[target], naming{l.at, instance, -1})
+		default:
+			for target, at := range requestsOf(l) {
+				requests[target] = append(requests[target], sent{at, instance})
+			}
+		}
+	}
+	var findings []string
+	for _, target := range slices.Sorted(maps.Keys(namings)) {
+		if finding := worstWindow(target, requests[target], namings[target]); finding != "" {
+			findings = append(findings, finding)
+		}
+	}
+	return findings
+}
+
+// requestsOf returns the targets to which a line says that a request was sent, and when. The failed attempts of a request
+// are counted at the time of its last one.
+func requestsOf(l line) map[string]time.Time {
+	switch l.fields["event"] {
+	case event.ItemRunStarted, event.RewardAttemptEnded:
+		if target := l.fields["target"]; target != "" {
+			return map[string]time.Time{target: l.at}
+		}
+	case event.RequestEnded:
+		elapsed, _ := strconv.ParseFloat(l.fields["elapsed"], 64)
+		at := l.at.Add(-time.Duration(elapsed * float64(time.Millisecond)))
+		targets := map[string]time.Time{}
+		for failed := range strings.SplitSeq(l.fields["failed"], ",") {
+			if target, _, ok := strings.Cut(failed, ":"); ok {
+				targets[target] = at
+			}
+		}
+		if target := l.fields["target"]; target != "" {
+			targets[target] = at
+		}
+		return targets
+	}
+	return nil
+}
+
+// worstWindow returns a finding for the window in which the requests to a target exceeded its limit most, or "".
+func worstWindow(target string, requests []sent, namings []naming) string {
+	slices.SortFunc(requests, func(a, b sent) int { return a.at.Compare(b.at) })
+	slices.SortFunc(namings, func(a, b naming) int { return a.at.Compare(b.at) })
+	first, last, highest := namings[0].at, namings[len(namings)-1].at, 0.0
+	if namings[len(namings)-1].rate >= 0 {
+		// No instance saw the end.
+		last = lastSent(requests)
+	}
+	known := map[string]time.Time{}
+	for _, n := range namings {
+		highest = max(highest, n.rate)
+		if at, ok := known[n.instance]; n.rate >= 0 && (!ok || n.at.Before(at)) {
+			known[n.instance] = n.at
+		}
+	}
+	allowed := limitFactor*highest*limitWindow.Seconds() + limitSlack
+	var counted []sent
+	for _, r := range requests {
+		at, ok := known[r.instance]
+		if ok && !r.at.Before(at.Add(knownAfter)) && !r.at.Before(first.Add(limitGrace)) && !r.at.After(last) {
+			counted = append(counted, r)
+		}
+	}
+	worst, start := 0, 0
+	for i := range counted {
+		end := i
+		for end < len(counted) && counted[end].at.Sub(counted[i].at) < limitWindow {
+			end++
+		}
+		if end-i > worst {
+			worst, start = end-i, i
+		}
+	}
+	if float64(worst) <= allowed {
+		return ""
+	}
+	instances := map[string]bool{}
+	for _, r := range counted[start : start+worst] {
+		instances[r.instance] = true
+	}
+	return fmt.Sprintf("limit: target %s got %d requests of %d instances in 4 s from %s, allowed %.1f (limit %.3g)",
+		target, worst, len(instances), counted[start].at.Format("15:04:05.000"), allowed, highest)
+}
+
+func lastSent(requests []sent) time.Time {
+	if len(requests) == 0 {
+		return time.Time{}
+	}
+	return requests[len(requests)-1].at
+}
--- /dev/null
+++ b/tools/checklogs/main_test.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+// logOf returns the lines of a log that begins at 12:00:00; each entry is the milliseconds since then and the fields.
+func logOf(t *testing.T, entries ...any) []line {
+	t.Helper()
+	start := time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+	var text strings.Builder
+	for n := 0; n < len(entries); n += 2 {
+		at := start.Add(time.Duration(entries[n].(int)) * time.Millisecond)
+		fmt.Fprintf(&text, "  1.2 node time=%s level=debug %s\n", at.Format("2006-01-02T15:04:05.000Z07:00"), entries[n+1])
+	}
+	lines, err := readLines(strings.NewReader(text.String()))
+	if err != nil || len(lines) != len(entries)/2 {
+		t.Fatalf("%d lines of %d: %v", len(lines), len(entries)/2, err)
+	}
+	return lines
+}
+
+// Guards against a count that misses requests above a limit, or that counts those of instances that do not know it, that
+// came before it had to be kept, or that are allowed.
+func TestCheckLimits(t *testing.T) {
+	named := func(instance string) string {
+		return fmt.Sprintf(`event="target names a limit" instance=%s limit=1 status=503 target=e`, instance)
+	}
+	started := func(instance string) string {
+		return fmt.Sprintf(`event="item run started" after=0 instance=%s target=e job="a \"b\" c"`, instance)
+	}
+	requests := func(from, count, gap int, instance string) []any {
+		var all []any
+		for n := range count {
+			all = append(all, from+n*gap, started(instance))
+		}
+		return all
+	}
+	for _, tc := range []struct {
+		name    string
+		entries []any
+		found   bool
+	}{
+		{"allowed", append([]any{0, named("a")}, requests(3100, 11, 100, "a")...), false},
+		{"one above", append([]any{0, named("a")}, requests(3100, 12, 100, "a")...), true},
+		{"spread over more than a window", append([]any{0, named("a")}, requests(3100, 12, 400, "a")...), false},
+		{"before it had to be kept", append([]any{0, named("a")}, requests(600, 20, 100, "a")...), false},
+		{"an instance that does not know", append([]any{0, named("a")}, requests(3100, 20, 100, "b")...), false},
+		{"an instance that has just learned of it", append([]any{0, named("a"), 3100, named("b")}, requests(3200, 12, 20, "b")...), false},
+		{"sum of two", append(append([]any{0, named("a"), 100, named("b")}, requests(3100, 6, 100, "a")...), requests(3100, 6, 100, "b")...), true},
+		{"after its end", append([]any{0, named("a"), 3000, `event="target no longer names a limit" instance=a target=e`}, requests(3100, 20, 100, "a")...), false},
+		{"requests of callers", append([]any{0, named("a")}, requestsEnded(12)...), true},
+	} {
+		if got := checkLimits(logOf(t, tc.entries...)); (len(got) > 0) != tc.found {
+			t.Errorf("%s: findings %q, want some: %v", tc.name, got, tc.found)
+		}
+	}
+}
+
+// requestsEnded returns requests of which each failed at target e before another one served it.
+func requestsEnded(count int) []any {
+	var all []any
+	for n := range count {
+		all = append(all, 3200+n*100, `event="request ended" instance=a target=f elapsed=50.5 failed="e:refused"`)
+	}
+	return all
+}
