node: entry instances of our own deployment share the limits of targets

Cause: the same as on the platform's path, no sender read a limit. Class: one decision, two paths. Change: the header Egretspar-Limit is read from every response (completions, plain services, scores); requests pass the same table; reports travel in the state frames. Conclusion: both paths keep a limit by the same package.

--- a/internal/node/gauges.go
+++ b/internal/node/gauges.go
@@ -34,7 +34,7 @@
 			return err
 		}
 	}
-	return nil
+	return n.metrics.RegisterLimits(func() int64 { return n.limits.Count(time.Now()) }, n.limits.Held)
 }
 
 // evidenceAge returns the age in milliseconds of the last confirmed read of the configuration.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,6 +37,7 @@
 	"github.com/egretspar/egretspar/internal/settings"
 	"github.com/egretspar/egretspar/internal/step"
 	"github.com/egretspar/egretspar/internal/target"
+	"github.com/egretspar/egretspar/internal/targetlimit"
 	"github.com/egretspar/egretspar/internal/telemetry"
 	"github.com/egretspar/egretspar/internal/usage"
 	"github.com/egretspar/egretspar/internal/weights"
@@ -57,6 +58,7 @@
 	configSync    *confsync.Sync
 	router        *routing.Router
 	guard         *retry.Guard
+	limits        *targetlimit.Table
 	admission     *admission.Controller
 	forwarder     *forward.Forwarder
 	claims        *claim.Claims
@@ -169,20 +171,24 @@
 	n.guard = retry.NewGuard(n.self.ID)
 	n.admission = admission.NewController(n.self.ID, time.Now)
 	budget := retry.NewBudget(retry.RetryPolicy)
-	picker := &guardedPicker{router: n.router, guard: n.guard, budget: budget}
+	n.limits = targetlimit.NewTable(n.self.ID)
+	picker := &limitedPicker{limits: n.limits, next: &guardedPicker{router: n.router, guard: n.guard, budget: budget}}
 	n.forwarder = forward.New(forward.Options{
 		Picker:           picker,
 		Budget:           retryBudget{budget},
 		Counter:          n.metrics,
 		StripCredentials: n.stripHeader,
 		Limits:           forward.DefaultLimits(),
+		Dialect: forward.Dialect{ObserveResponse: func(request *http.Request, response *http.Response, sentAt time.Time) {
+			n.observeLimit(request.URL.Scheme+"://"+request.URL.Host, response.Header, sentAt)
+		}},
 	})
 	n.claims = claim.New(n.platform.Table, n.metrics, now)
 	n.claims.SetUnrecordedCheck(n.confirmOutageWithPeers)
 	n.rollout = rollout.New(rollout.Options{
 		Instance:   n.self.ID,
 		Generator:  &admittedGenerator{admission: n.admission, generate: n.forwarder.Generate},
-		Scorer:     &scorer{admission: n.admission, picker: picker, checkAccess: n.checkAccess, http: &http.Client{Transport: &http.Transport{}}},
+		Scorer:     &scorer{admission: n.admission, picker: picker, checkAccess: n.checkAccess, observeLimit: n.observeLimit, http: &http.Client{Transport: &http.Transport{}}},
 		Objects:    n.platform.Objects,
 		Peers:      stepPeerCaller{n},
 		Usage:      n.usageMeter,
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -64,6 +64,7 @@
 			return nil
 		case <-ticker.C:
 		case <-n.guard.Changes():
+		case <-n.limits.Changes():
 		}
 	}
 }
@@ -122,6 +123,7 @@
 	state.StoreOutageAgeMs = &outageAge
 	var guardRevision uint64
 	state.Crashes, state.Quarantined, guardRevision = n.guard.State(now)
+	state.Limits = n.limitReport(now)
 	return state, guardRevision
 }
 
@@ -150,6 +152,8 @@
 	n.mu.Unlock()
 	n.admission.ApplyPeerState(state, now)
 	n.guard.Merge(state, now)
+	n.limits.ApplyReport(state.Instance, limitReportOf(state.Limits), now)
+	n.limits.RecordRead(now)
 	n.mergeOutage(state, now)
 }
 
--- a/internal/node/picker.go
+++ b/internal/node/picker.go
@@ -21,16 +21,6 @@
 	budget *retry.Budget
 }
 
-// Pick implements forward.Picker.
-func (p *guardedPicker) Pick(req target.Request, now time.Time) (target.Reservation, *outcome.Refusal) {
-	reservation, refusal := p.pick(req, now)
-	if refusal == nil && len(req.Exclude) == 0 {
-		// Only first attempts add to the retry budget.
-		p.budget.RecordRequest(req.Team, reservation.Target().ID, now)
-	}
-	return reservation, refusal
-}
-
 func (p *guardedPicker) pick(req target.Request, now time.Time) (target.Reservation, *outcome.Refusal) {
 	if req.Fingerprint == 0 {
 		return p.router.Pick(req, now)
--- a/internal/node/scorer.go
+++ b/internal/node/scorer.go
@@ -30,7 +30,9 @@
 	picker forward.Picker
 	// checkAccess returns nil if the team may use the service.
 	checkAccess func(team, service string) *outcome.Refusal
-	http        *http.Client
+	// observeLimit records the limit that a target names.
+	observeLimit func(url string, header http.Header, sentAt time.Time)
+	http         *http.Client
 }
 
 // Score implements rollout.Scorer.
@@ -75,6 +77,7 @@
 		return 0, target.Cancelled
 	}
 	request.Header.Set("Content-Type", "application/json")
+	sentAt := time.Now()
 	response, err := s.http.Do(request)
 	switch {
 	case ctx.Err() != nil:
@@ -83,6 +86,7 @@
 		return 0, target.Unreachable
 	}
 	defer response.Body.Close()
+	s.observeLimit(url, response.Header, sentAt)
 	if response.StatusCode != http.StatusOK {
 		return 0, target.Refused
 	}
--- a/internal/node/scorer_test.go
+++ b/internal/node/scorer_test.go
@@ -52,7 +52,7 @@
 			_, _ = w.Write([]byte(c.body))
 		}))
 		picker := &singleTargetPicker{url: server.URL, result: -1}
-		s := &scorer{admission: control, picker: picker, http: server.Client(), checkAccess: func(string, string) *outcome.Refusal {
+		s := &scorer{admission: control, picker: picker, http: server.Client(), observeLimit: func(string, http.Header, time.Time) {}, checkAccess: func(string, string) *outcome.Refusal {
 			if c.allowed {
 				return nil
 			}
--- a/internal/peer/peer_gen.go
+++ b/internal/peer/peer_gen.go
@@ -138,6 +138,9 @@
 	// Leaving corresponds to the JSON schema field "leaving".
 	Leaving *bool `cbor:"leaving,omitempty"`
 
+	// Limits corresponds to the JSON schema field "limits".
+	Limits []TargetLimit `cbor:"limits,omitempty"`
+
 	// Quarantined corresponds to the JSON schema field "quarantined".
 	Quarantined []Quarantine `cbor:"quarantined,omitempty"`
 
@@ -155,6 +158,29 @@
 	StoreOutageAgeMs *int `cbor:"store_outage_age_ms,omitempty"`
 }
 
+type TargetLimit struct {
+	// Time since the instance saw that the limit had ended.
+	EndedMs *int `cbor:"ended_ms,omitempty"`
+
+	// Time since the instance saw the limit.
+	NamedMs *int `cbor:"named_ms,omitempty"`
+
+	// Requests a second that the target named.
+	Rate *float64 `cbor:"rate,omitempty"`
+
+	// Requests that the instance sent in each of the last half seconds, newest first.
+	Sent []int `cbor:"sent,omitempty"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service *string `cbor:"service,omitempty"`
+
+	// Target corresponds to the JSON schema field "target".
+	Target string `cbor:"target"`
+
+	// Set while the instance has requests for the target.
+	Wanted *bool `cbor:"wanted,omitempty"`
+}
+
 type TeamCost struct {
 	// Requests that run now.
 	InFlight *int `cbor:"in_flight,omitempty"`
--- a/internal/standin/plain/plain.go
+++ b/internal/standin/plain/plain.go
@@ -40,6 +40,8 @@
 	FailRate float64 `json:"fail_rate"`
 	// ResponseLossRate is the fraction of requests that run and whose connection is then closed without a response.
 	ResponseLossRate float64 `json:"lose_rate"`
+	// Limit is the number of requests a second that responses name, as text; "" means none. It is not enforced.
+	Limit string `json:"limit"`
 	// TruncateRate is the fraction of requests that run and whose connection is closed in the middle of the response.
 	TruncateRate float64 `json:"truncate_rate"`
 }
@@ -114,6 +116,9 @@
 	}
 	id := s.recorder.RecordRequest(r, body)
 	outcome := s.drawOutcome()
+	if outcome.limit != "" {
+		w.Header().Set("Egretspar-Limit", outcome.limit)
+	}
 	if outcome.refused {
 		http.Error(w, "busy", http.StatusServiceUnavailable)
 		return
@@ -154,13 +159,14 @@
 type runOutcome struct {
 	refused, failed, responseLost, responseTruncated bool
 	latency                                          time.Duration
+	limit                                            string
 }
 
 func (s *Service) drawOutcome() runOutcome {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b := s.behavior
-	outcome := runOutcome{latency: b.Latency}
+	outcome := runOutcome{latency: b.Latency, limit: b.Limit}
 	if b.Jitter > 0 {
 		outcome.latency += time.Duration(s.random.Int64N(int64(b.Jitter)))
 	}
--- a/internal/targetlimit/report.go
+++ b/internal/targetlimit/report.go
@@ -13,9 +13,9 @@
 	Rate    float64 `json:"rate,omitempty"`
 	// NamedAgeMs is the time since the instance saw the limit, EndedAgeMs since it saw that the limit had ended; nil means
 	// that it did not.
-	NamedAgeMs *int64 `json:"named_ms,omitempty"`
-	EndedAgeMs *int64 `json:"ended_ms,omitempty"`
-	Wanted     bool   `json:"wanted,omitempty"`
+	NamedAgeMs *int `json:"named_ms,omitempty"`
+	EndedAgeMs *int `json:"ended_ms,omitempty"`
+	Wanted     bool `json:"wanted,omitempty"`
 	// Sent is the number of requests that the instance sent in each of the last intervals of sentInterval, newest first.
 	Sent []int `json:"sent,omitempty"`
 }
@@ -24,8 +24,8 @@
 // another one need not be newer.
 const transitTime = time.Second
 
-func ageMs(at, now time.Time) *int64 {
-	age := now.Sub(at).Milliseconds()
+func ageMs(at, now time.Time) *int {
+	age := int(now.Sub(at).Milliseconds())
 	return &age
 }
 
--- a/internal/targetlimit/table.go
+++ b/internal/targetlimit/table.go
@@ -178,6 +178,9 @@
 	return t.held
 }
 
+// Changes receives a value when the other instances should get a new report.
+func (t *Table) Changes() <-chan struct{} { return t.changes }
+
 func (t *Table) signalChange() {
 	select {
 	case t.changes <- struct{}{}:
--- a/internal/targetlimit/worker.go
+++ b/internal/targetlimit/worker.go
@@ -86,7 +86,7 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-w.options.Table.changes:
+		case <-w.options.Table.Changes():
 		case <-repeat.C:
 		}
 		repeat.Stop()
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -156,6 +156,14 @@
 	return errors.WithStack(err)
 }
 
+// RegisterLimits exports the number of targets that name a limit, and how often a request was held back from one.
+func (m *Metrics) RegisterLimits(limited, held func() int64) error {
+	if err := m.Gauge("egretspar.targets.limited", "Targets that name a limit of requests.", limited); err != nil {
+		return err
+	}
+	return m.Counter("egretspar.targets.held", "Requests and items that a target did not get at once because of its limit.", held)
+}
+
 // Handler serves the metrics in the Prometheus text format.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
