live, platform: the software version of engines is decoded and logged

Cause: nothing shows which version an item's runs had, so the hypotheses of the incident cannot be told apart. Nothing behaves differently.

--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -148,7 +148,7 @@
 			Job: o.job, Item: item.item, Target: targets[id], LastEvent: item.text.Last, Deadline: o.job.Submitted.Add(o.job.Life),
 			EarlierStepOpen: earlierStepOpen,
 		}
-		s.options.Log.Debug().Str("job", o.job.ID).Str("item", item.item.ID).Str("target", id).Int("after", run.LastEvent).Msg(event.ItemRunStarted)
+		s.options.Log.Debug().Str("job", o.job.ID).Str("item", item.item.ID).Str("target", id).Str("software", run.Target.Software).Int("after", run.LastEvent).Msg(event.ItemRunStarted)
 		s.tasks.Go(func() { o.runItem(ctx, item, run) })
 	}
 	hasPending := len(o.progress.pending) > 0
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -104,7 +104,7 @@
 	ItemMoved:                 "an item's run was cancelled so that the item continues at another engine; `from`, `to`, `last` event, expected `remaining` events",
 	ItemReadFailed:            "a caller's request for the body of an item failed",
 	ItemRunEnded:              "one run of an item ended; `target`, `ending`, events `after` and `last`, `crashes`, `pause`, `elapsed`",
-	ItemRunStarted:            "an item was sent to `target`, to continue after event `after`; `job`, `item`",
+	ItemRunStarted:            "an item was sent to `target`, which has the version `software`, to continue after event `after`; `job`, `item`",
 	ItemsExpired:              "open items passed their deadline and are listed as failed",
 	JobAssigned:               "this instance accepted the job, and `owner` runs it",
 	JobDecodeFailed:           "a job's row could not be decoded",
--- a/internal/live/view.go
+++ b/internal/live/view.go
@@ -17,6 +17,8 @@
 	Draining bool
 	// Reclaimable targets may be reclaimed by the platform at short notice.
 	Reclaimable bool
+	// Software is the version of the target's software. Texts of different versions do not fit together.
+	Software string
 	// Versions holds the weight version by model; it is empty for targets without models.
 	Versions map[string]int
 	// StartNumber identifies the current run of the target. It changes when the target restarts; 0 means unknown.
--- a/tools/checklogs/main_test.go
+++ b/tools/checklogs/main_test.go
@@ -68,3 +68,25 @@
 	}
 	return all
 }
+
+// Guards against a count that misses a text of two software versions, or that counts one that began again.
+func TestCheckSoftware(t *testing.T) {
+	start := func(after int, software string) string {
+		return fmt.Sprintf(`event="item run started" after=%d instance=a item=i software=%s target=e`, after, software)
+	}
+	for _, tc := range []struct {
+		name    string
+		entries []any
+		found   bool
+	}{
+		{"same version", []any{0, start(0, "v1"), 10, start(5, "v1")}, false},
+		{"other version", []any{0, start(0, "v1"), 10, start(5, "v2")}, true},
+		{"began again", []any{0, start(0, "v1"), 10, start(0, "v2"), 20, start(3, "v2")}, false},
+		{"back at the first version", []any{0, start(0, "v1"), 10, start(0, "v2"), 20, start(3, "v1")}, true},
+		{"lines out of order", []any{10, start(5, "v2"), 0, start(0, "v1")}, true},
+	} {
+		if got := checkSoftware(logOf(t, tc.entries...)); (len(got) > 0) != tc.found {
+			t.Errorf("%s: findings %q, want some: %v", tc.name, got, tc.found)
+		}
+	}
+}
