batch, placement: a text goes on only at the software version that began it

Trainers got texts whose parts come from two software versions of the engines, which don't fit together. Cause: the version was not known to anything, so drained, moved, refused and broken runs went on at any engine. Change: a text carries its version wherever it lives; placement and moves keep to it; an item waits for its version at most as long as its text takes to generate again, then begins again if another engine has room. Clients that take streams up again are not covered yet.

--- a/internal/batch/fake_test.go
+++ b/internal/batch/fake_test.go
@@ -321,6 +321,8 @@
 	eventIntervals map[string]time.Duration
 	// endlessEngines send events without end.
 	endlessEngines map[string]bool
+	// down holds the engines whose runs break off.
+	down map[string]bool
 	// lengths is the number of events, by item; the default is 10.
 	lengths map[string]int
 	// endings holds the endings of the next runs, by item; later runs complete.
@@ -375,7 +377,7 @@
 			return Broken
 		case <-time.After(interval):
 		}
-		if ending == Broken && n > length/2 {
+		if ending == Broken && n > length/2 || f.isDown(run.Target.ID) {
 			return Broken
 		}
 		f.mu.Lock()
@@ -388,6 +390,22 @@
 	return Complete
 }
 
+// setDown makes the runs on these engines, and on no others, break off.
+func (f *fakeRunner) setDown(engines ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = map[string]bool{}
+	for _, id := range engines {
+		f.down[id] = true
+	}
+}
+
+func (f *fakeRunner) isDown(engine string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.down[engine]
+}
+
 func (f *fakeRunner) eventCount(item string) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -80,6 +80,9 @@
 	Last int
 	// Versions are the weight versions that generated the events, in ascending order.
 	Versions []int
+	// Software is the software version of the engines that generated the events. Only such engines may continue the text:
+	// others do not notice that it does not fit.
+	Software string
 }
 
 // Event is one piece of an item's text as an engine streams it.
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -20,6 +20,9 @@
 	// open items are running.
 	placeRetryInterval = 50 * time.Millisecond
 	moveInterval       = 150 * time.Millisecond
+	// maxEntryLag is how late an instance that reaches the store may learn that an engine has come back with another
+	// software version.
+	maxEntryLag = time.Second
 )
 
 // placementLoop starts items whenever an engine may have a free slot.
@@ -86,7 +89,7 @@
 		for _, t := range engines[service] {
 			poolEngines = append(poolEngines, placement.Engine{
 				ID: t.ID, Slots: t.Slots, Version: t.Versions[model], Assigned: assigned[service][t.ID] == model, StartNumber: t.StartNumber,
-				Limited: s.options.Limits.IsLimited(t.ID, now),
+				Software: t.Software, Limited: s.options.Limits.IsLimited(t.ID, now),
 			})
 		}
 		s.poolLocked(model).SetEngines(poolEngines)
@@ -131,9 +134,11 @@
 			wanted = true
 			s.options.Limits.Want(pool.Limited(o.job.MinVersion), now)
 		}
-		id, ok := pool.Place(placement.Request{
-			Group: item.item.Group, MinVersion: o.job.MinVersion, Length: o.progress.relativeLength(item), Avoid: item.avoidEngine,
-		}, now)
+		id, ok := o.place(pool, item, now)
+		if !ok && item.text.Last > 0 {
+			// Engines of other versions may have room for other items.
+			continue
+		}
 		if !ok {
 			break
 		}
@@ -158,6 +163,29 @@
 	return hasPending
 }
 
+// place returns the engine for an item. If the item's text cannot be continued in time, and an engine of another version
+// has room, it begins again. The caller holds the locks of the service and the job.
+func (o *ownedJob) place(pool *placement.Pool, item *itemState, now time.Time) (string, bool) {
+	request := placement.Request{
+		Group: item.item.Group, MinVersion: o.job.MinVersion, Length: o.progress.relativeLength(item), Avoid: item.avoidEngine,
+		Continues: item.text.Last > 0, Software: item.text.Software,
+	}
+	id, ok := pool.Place(request, now)
+	if ok || !request.Continues {
+		return id, ok
+	}
+	last, software := item.text.Last, item.text.Software
+	request.Continues = false
+	if id, ok = pool.Place(request, now); !ok {
+		return "", false
+	}
+	if !o.progress.restartIfStranded(item, pool.Serves(software, o.job.MinVersion), pool.GenerationTime(last, now), now) {
+		return "", false
+	}
+	o.service.options.Log.Debug().Str("job", o.job.ID).Str("item", item.item.ID).Int("last", last).Str("software", software).Msg(event.ItemRestarted)
+	return id, true
+}
+
 // isEarlierStepOpen reports whether an earlier step of the job's route and model is open. The results of
 // that step are needed first. The caller holds the service's lock.
 func (s *Service) isEarlierStepOpen(job *Job) bool {
@@ -187,14 +215,21 @@
 	startedAt := time.Now()
 	meter := intervalMeter{}
 	ending := s.options.Runner.Run(ctx, run, func(e Event) error {
-		err := o.appendEvent(item, e)
+		err := o.appendEvent(item, run.Target.Software, e)
 		if interval, ok := meter.observe(time.Now()); ok {
 			s.recordEventInterval(o.job.Model, run.Target.ID, interval)
 		}
 		return err
 	})
 	now := time.Now()
+	target, isListed := s.options.View.Target(run.Target.ID)
 	o.mu.Lock()
+	isReplaced := isListed && target.Software != run.Target.Software
+	if isReplaced && item.text.Last > run.LastEvent && !item.done && (ending == Complete || now.Sub(startedAt) < maxEntryLag) {
+		// The engine came back with another version, perhaps before it got this run.
+		item.text = Text{}
+		ending = Broken
+	}
 	switch {
 	case o.ctx.Err() != nil:
 		ending = Cancelled
@@ -274,7 +309,7 @@
 }
 
 // appendEvent appends an event to an item's text if the job still runs and allows the event's weight version.
-func (o *ownedJob) appendEvent(item *itemState, e Event) error {
+func (o *ownedJob) appendEvent(item *itemState, software string, e Event) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.stopped || item.done {
@@ -293,6 +328,9 @@
 		item.text = Text{}
 		return errTextTooLong
 	}
+	if item.text.Last == 0 {
+		item.text.Software = software
+	}
 	return item.text.Append(e)
 }
 
--- a/internal/batch/progress.go
+++ b/internal/batch/progress.go
@@ -69,8 +69,8 @@
 	// failures counts the runs that an engine reported as failed, crashes those that broke before the first event.
 	failures int
 	crashes  int
-	// notBefore is the earliest time of the next run.
-	notBefore time.Time
+	// notBefore is the earliest time of the next run, queuedAt when the item last became pending.
+	notBefore, queuedAt time.Time
 	// hasStoredText is set when an earlier job or a former owner stored text of the item, even if this job cannot
 	// use it.
 	hasStoredText bool
@@ -181,7 +181,7 @@
 		if s.running || s.text.Last > 0 || !t.Text.isUsableFor(p.job) {
 			continue
 		}
-		s.text = t.Text
+		s.text, s.queuedAt = t.Text, now
 		if t.Whole {
 			p.completeText(s, now)
 		}
@@ -226,37 +226,48 @@
 			return ""
 		}
 		s.avoidEngine = s.engine
-		return p.requeue(s, now.Add(failureBackoff<<min(s.failures, 4)), outcome.RetryResponseLost)
+		return p.requeue(s, now, now.Add(failureBackoff<<min(s.failures, 4)), outcome.RetryResponseLost)
 	case NotRun:
 		s.avoidEngine = s.engine
-		return p.requeue(s, now.Add(notRunBackoff), outcome.RetryRefused)
+		return p.requeue(s, now, now.Add(notRunBackoff), outcome.RetryRefused)
 	case Unreachable:
 		s.avoidEngine = s.engine
-		return p.requeue(s, now, outcome.RetryConnect)
+		return p.requeue(s, now, now, outcome.RetryConnect)
 	case Stale:
-		return p.requeue(s, now.Add(notRunBackoff), outcome.RetryStale)
+		return p.requeue(s, now, now.Add(notRunBackoff), outcome.RetryStale)
 	case Moved:
 		s.avoidEngine = s.engine
-		return p.requeue(s, now, outcome.RetryFasterTarget)
+		return p.requeue(s, now, now, outcome.RetryFasterTarget)
 	case Broken:
 		s.avoidEngine = s.engine
 		if s.text.Last > 0 {
 			s.crashes = 0
-			return p.requeue(s, now, outcome.RetryResume)
+			return p.requeue(s, now, now, outcome.RetryResume)
 		}
 		s.crashes++
 		if s.crashes >= maxCrashes {
 			// The item stays open until the caller ends the job or the job expires.
 			return ""
 		}
-		return p.requeue(s, now.Add(failureBackoff), outcome.RetryResponseLost)
+		return p.requeue(s, now, now.Add(failureBackoff), outcome.RetryResponseLost)
 	}
-	return p.requeue(s, now, "")
+	return p.requeue(s, now, now, "")
+}
+
+// restartIfStranded drops the text of a pending item that no engine can continue, or not within the time that it takes to
+// generate it again. It reports whether it did. isServed tells whether any engine has the text's software version, and
+// generationTime is the time for the text.
+func (p *progress) restartIfStranded(s *itemState, isServed bool, generationTime time.Duration, now time.Time) bool {
+	if s.text.Last == 0 || isServed && now.Sub(s.queuedAt) < generationTime {
+		return false
+	}
+	s.text = Text{}
+	return true
 }
 
 // requeue makes an item pending again and returns reason.
-func (p *progress) requeue(s *itemState, notBefore time.Time, reason outcome.RetryReason) outcome.RetryReason {
-	s.notBefore = notBefore
+func (p *progress) requeue(s *itemState, now, notBefore time.Time, reason outcome.RetryReason) outcome.RetryReason {
+	s.notBefore, s.queuedAt = notBefore, now
 	// Items that ran before are placed first, because their groups wait for them.
 	p.pending = slices.Insert(p.pending, 0, s)
 	return reason
@@ -328,7 +339,9 @@
 	var all []placement.Running
 	for id, s := range p.items {
 		if s.running && !s.moveRequested {
-			all = append(all, placement.Running{Key: id, Engine: s.engine, Group: s.item.Group, Remaining: p.remainingEvents(s), Since: s.startedAt})
+			all = append(all, placement.Running{
+				Key: id, Engine: s.engine, Group: s.item.Group, HasText: s.text.Last > 0, Software: s.text.Software, Remaining: p.remainingEvents(s), Since: s.startedAt,
+			})
 		}
 	}
 	return all
@@ -341,6 +354,7 @@
 	Output   []byte
 	Last     int
 	Versions []int
+	Software string
 	Whole    bool
 }
 
@@ -356,7 +370,7 @@
 		}
 		segments[id] = segment{
 			After: s.savedEvent, Output: slices.Clone(s.text.Output[s.savedBytes:]), Last: s.text.Last, Versions: slices.Clone(s.text.Versions),
-			Whole: s.textComplete,
+			Software: s.text.Software, Whole: s.textComplete,
 		}
 		s.savedEvent, s.savedBytes, s.savedComplete = s.text.Last, len(s.text.Output), s.textComplete
 	}
--- a/internal/batch/segments.go
+++ b/internal/batch/segments.go
@@ -120,8 +120,8 @@
 func (c *segmentChain) add(s segment) {
 	switch {
 	case s.After == 0:
-		*c = segmentChain{text: Text{Output: s.Output}}
-	case c.hasGap || s.After != c.text.Last:
+		*c = segmentChain{text: Text{Output: s.Output, Software: s.Software}}
+	case c.hasGap || s.After != c.text.Last || s.Software != c.text.Software:
 		c.hasGap = true
 		return
 	default:
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -24,6 +24,7 @@
 	HistoryLost               Name = "feed history lost, all rows read again"
 	ItemMoved                 Name = "item moved to another engine"
 	ItemReadFailed            Name = "item not read"
+	ItemRestarted             Name = "item begins again, no engine of its version has room"
 	ItemRunEnded              Name = "item run ended"
 	ItemRunStarted            Name = "item run started"
 	ItemsExpired              Name = "items expired"
@@ -103,6 +104,7 @@
 	HistoryLost:               "the feed cannot continue from the last revision read",
 	ItemMoved:                 "an item's run was cancelled so that the item continues at another engine; `from`, `to`, `last` event, expected `remaining` events",
 	ItemReadFailed:            "a caller's request for the body of an item failed",
+	ItemRestarted:             "the text of an item up to event `last` was dropped: no engine with the version `software` could continue it in the time that it takes to generate it again",
 	ItemRunEnded:              "one run of an item ended; `target`, `ending`, events `after` and `last`, `crashes`, `pause`, `elapsed`",
 	ItemRunStarted:            "an item was sent to `target`, which has the version `software`, to continue after event `after`; `job`, `item`",
 	ItemsExpired:              "open items passed their deadline and are listed as failed",
--- a/internal/placement/move.go
+++ b/internal/placement/move.go
@@ -25,6 +25,9 @@
 	Key    string
 	Engine string
 	Group  string
+	// Software is the version of the engine that generated the item's text; it matters if HasText is set.
+	HasText  bool
+	Software string
 	// Remaining is the expected number of events until the item completes.
 	Remaining int
 	// Since is when the item started on the engine.
@@ -90,7 +93,7 @@
 	best := ""
 	var bestInterval time.Duration
 	for _, e := range p.engineList {
-		if e.ID == r.Engine || !p.canAccept(e, minVersion, now) || e.running+additionalRunning[e.ID] >= e.Slots || !e.Assigned && !isLeaving {
+		if e.ID == r.Engine || r.HasText && e.Software != r.Software || !p.canAccept(e, minVersion, now) || e.running+additionalRunning[e.ID] >= e.Slots || !e.Assigned && !isLeaving {
 			continue
 		}
 		candidateInterval := e.currentInterval(now)
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -6,6 +6,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -29,6 +30,8 @@
 	intervalSampleWeight = 0.4
 	// intervalTTL is the age at which a measurement expires, because slowdowns are temporary.
 	intervalTTL = 10 * time.Second
+	// defaultEventInterval is assumed while no engine was measured.
+	defaultEventInterval = 50 * time.Millisecond
 	// fullEnginePenalty is added to the cost of an engine whose slots are all taken by items of this and other
 	// instances.
 	fullEnginePenalty = 1.0
@@ -46,6 +49,8 @@
 	Version int
 	// Assigned engines get new weights of the model.
 	Assigned bool
+	// Software is the version of the engine's software.
+	Software string
 	// Limited engines name a limit of requests, so Limits decides when they get one.
 	Limited bool
 	// StartNumber identifies the engine's current run. It changes when the engine restarts.
@@ -60,6 +65,9 @@
 	MinVersion int
 	// Length is the expected length relative to the average of the job's items; 0 counts as 1.
 	Length float64
+	// Continues is set for an item that has text. Only engines with the version Software may continue it.
+	Continues bool
+	Software  string
 	// Avoid is the engine on which the item failed last. Its cost is raised, so that other engines are preferred.
 	Avoid string
 }
@@ -189,6 +197,22 @@
 	return ids
 }
 
+// Serves reports whether an engine with a software version may run items of at least minVersion, now or later.
+func (p *Pool) Serves(software string, minVersion int) bool {
+	return slices.ContainsFunc(p.engineList, func(e *engine) bool {
+		return e.listed && e.Software == software && e.Version >= minVersion
+	})
+}
+
+// GenerationTime returns how long the fastest engine probably takes to generate events.
+func (p *Pool) GenerationTime(events int, now time.Time) time.Duration {
+	interval := p.shortestInterval(now)
+	if interval == 0 {
+		interval = defaultEventInterval
+	}
+	return time.Duration(events) * interval
+}
+
 // canAccept reports whether an engine can get an item now.
 func (p *Pool) canAccept(e *engine, minVersion int, now time.Time) bool {
 	return e.listed && e.Version >= minVersion && e.running < e.Slots && !now.Before(e.backoffUntil) &&
@@ -203,7 +227,7 @@
 	shortest := p.shortestInterval(now)
 	peerRunning := p.peerRunning(now)
 	for _, e := range p.engineList {
-		if !p.canAccept(e, r.MinVersion, now) || p.anyLimited && e.running+peerRunning[e.ID] >= e.Slots {
+		if r.Continues && e.Software != r.Software || !p.canAccept(e, r.MinVersion, now) || p.anyLimited && e.running+peerRunning[e.ID] >= e.Slots {
 			continue
 		}
 		cost := e.cost(r, peerRunning[e.ID]) + e.slowness(shortest, now)*speedWeight*min(maxLengthFactor, relativeLength(r))
