streams, platform: callers take a stream up again only at its software version

A caller that took a broken stream up again could get events of another software version than the one that began it. Class: parts joined from two sources. Change: instances remember the version of each resumable stream for a minute and tell each other while a service has targets of several versions; a stream goes to targets of its version, or is refused as not run. checklogs counts these streams too. Conclusion: covered by tests only.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -59,6 +59,9 @@
 	Started                   Name = "instance started"
 	StopRequested             Name = "stop requested"
 	Stopped                   Name = "instance stopped"
+	StreamBegan               Name = "stream began"
+	StreamsDecodeFailed       Name = "streams not decoded"
+	StreamsWriteFailed        Name = "streams not written"
 	TakeoverFailed            Name = "job not taken over"
 	TargetChanged             Name = "target changed"
 	TargetCrashed             Name = "target crashed or disconnected while it ran a request"
@@ -139,6 +142,9 @@
 	Started:                   "the process serves requests",
 	StopRequested:             "the process received SIGTERM",
 	Stopped:                   "the process exits",
+	StreamBegan:               "a caller's stream began at `target`, which has the version `software`; with `resumes` it continues that stream after event `after`",
+	StreamsDecodeFailed:       "a row with the software versions of streams could not be decoded; they cannot be taken up again here while versions are mixed",
+	StreamsWriteFailed:        "other instances do not know yet which software version began some streams; the write is retried",
 	TakeoverFailed:            "a takeover failed and is retried",
 	TargetChanged:             "a target reported new properties; `draining`, `versions`",
 	TargetCrashed:             "a target crashed or disconnected while it ran the request with this hash; from the third target on the request is refused",
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -293,6 +293,9 @@
 		done(target.Refused)
 		return attemptResult{targetResult: target.Refused, retryReason: outcome.RetryRefused}
 	}
+	if x.call.Began != nil && response.StatusCode/100 == 2 {
+		x.call.Began(chosen)
+	}
 	return x.forwardResponse(ctx, response, done)
 }
 
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -44,7 +44,7 @@
 // meetsRequirements reports whether the member has the weight version that the request needs and is not
 // excluded by the request. It does not check the breaker.
 func meetsRequirements(m *member, req *target.Request) bool {
-	if req.MinVersion > 0 && m.weightVersion < req.MinVersion {
+	if req.MinVersion > 0 && m.weightVersion < req.MinVersion || req.Software != "" && m.target.Software != req.Software {
 		return false
 	}
 	return len(req.Exclude) == 0 || !slices.Contains(req.Exclude, m.target.ID)
--- /dev/null
+++ b/internal/streams/table_test.go
@@ -0,0 +1,51 @@
+package streams
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// Guards against streams that are refused although only one version serves, against streams of unknown version that are
+// accepted while versions are mixed or shortly after, and against own streams that other instances never learn of.
+func TestMixedVersions(t *testing.T) {
+	table, start := NewTable(), time.Now()
+	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+	observe := func(s int, versions ...string) { table.ObserveTargets(map[string][]string{"s": versions}, at(s)) }
+	expect := func(s int, id string, want Decision, software string) {
+		t.Helper()
+		if got, gotSoftware := table.Resume("s", id, at(s)); got != want || gotSoftware != software {
+			t.Errorf("%d s, stream %s: %v %q, want %v %q", s, id, got, gotSoftware, want, software)
+		}
+	}
+	observe(0, "v1")
+	table.Begin(Entry{"early", "s", "v1"}, at(1))
+	expect(2, "other", AnyTarget, "")
+	if got := table.TakeUnshared(10, at(2)); len(got) != 0 {
+		t.Errorf("shared %v with one version", got)
+	}
+	observe(10, "v1", "v2")
+	expect(10, "early", SameSoftware, "v1")
+	expect(10, "other", Unknown, "")
+	if got := table.TakeUnshared(10, at(10)); len(got) != 1 || got[0].ID != "early" {
+		t.Errorf("shared %v, want the stream from before", got)
+	}
+	table.Learn([]Entry{{"other", "s", "v2"}}, at(11))
+	expect(11, "other", SameSoftware, "v2")
+	for n := range 5 {
+		table.Begin(Entry{fmt.Sprint("n", n), "s", "v2"}, at(12))
+	}
+	first, second := table.TakeUnshared(3, at(12)), table.TakeUnshared(3, at(12))
+	if len(first) != 3 || len(second) != 2 {
+		t.Errorf("shared %d and %d of 5 streams", len(first), len(second))
+	}
+	table.PutBack(first)
+	if got := table.TakeUnshared(10, at(13)); len(got) != 3 {
+		t.Errorf("%d streams after a failed write, want 3", len(got))
+	}
+	observe(20, "v2")
+	expect(30, "unseen", Unknown, "")
+	expect(100, "unseen", AnyTarget, "")
+	table.Begin(Entry{"late", "s", "v2"}, at(100))
+	expect(100, "early", AnyTarget, "")
+}
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -21,6 +21,8 @@
 	Fencing bool
 	// Draining reports whether the target is draining: it finishes its running requests and gets no new ones.
 	Draining bool
+	// Software is the version of the target's software.
+	Software string
 }
 
 // Request holds the properties of a request on which the choice of its target depends.
@@ -32,6 +34,8 @@
 	Prefix []uint64
 	// MinVersion is the oldest weight version that may serve the request; 0 means any.
 	MinVersion int
+	// Software is the software version that may serve the request; "" means any.
+	Software string
 	// Exclude lists targets that already failed for this request.
 	Exclude []string
 	// Probe allows the choice of a target whose circuit breaker is half open.
--- a/tools/checklogs/main.go
+++ b/tools/checklogs/main.go
@@ -30,7 +30,7 @@
 		os.Exit(2)
 	}
 	found := false
-	for _, check := range []func([]line) []string{checkLimits, checkSoftware} {
+	for _, check := range []func([]line) []string{checkLimits, checkSoftware, checkStreams} {
 		for _, finding := range check(lines) {
 			fmt.Println(finding)
 			found = true
--- a/tools/checklogs/main_test.go
+++ b/tools/checklogs/main_test.go
@@ -91,3 +91,16 @@
 		}
 	}
 }
+
+// Guards against a count that misses a stream of two software versions.
+func TestCheckStreams(t *testing.T) {
+	began := func(id, resumes, software string) string {
+		return fmt.Sprintf(`event="stream began" instance=a request=%s resumes=%q software=%s target=e`, id, resumes, software)
+	}
+	if got := checkStreams(logOf(t, 0, began("s", "", "v1"), 10, began("t", "s", "v1"), 20, began("u", "lost", "v2"))); len(got) != 0 {
+		t.Errorf("findings %q", got)
+	}
+	if got := checkStreams(logOf(t, 10, began("t", "s", "v2"), 0, began("s", "", "v1"))); len(got) != 1 {
+		t.Errorf("findings %q, want one", got)
+	}
+}
