targetlimit: a restarted process knows the limits that its former process saw

The rule excuses a restart, the target does not. Change: the row is read and its contents count, until the new process writes its own. checklogs lets the knowledge of an instance end with its process, as the rule does. TestFormerProcessOfInstance.

--- a/internal/targetlimit/report.go
+++ b/internal/targetlimit/report.go
@@ -109,6 +109,19 @@
 	t.peers[instance] = peer{wanted: wanted, sent: sent, receivedAt: now}
 }
 
+// ApplyFormer records what a former process of this instance saw, and what it sent.
+func (t *Table) ApplyFormer(r Report, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, reported := range r.Targets {
+		t.applyTarget(id, reported, now)
+		if e := t.targets[id]; e != nil && len(reported.Sent) > 0 {
+			e.sent = historyOf(reported.Sent, now)
+		}
+	}
+	t.signalChange()
+}
+
 // RemoveReport forgets another instance.
 func (t *Table) RemoveReport(instance string) {
 	t.mu.Lock()
--- a/internal/targetlimit/table_test.go
+++ b/internal/targetlimit/table_test.go
@@ -61,3 +61,20 @@
 		}
 	}
 }
+
+// Guards against a restarted process that sends a target as much as it likes, because it forgot what its former process saw.
+func TestFormerProcessOfInstance(t *testing.T) {
+	now := time.Now()
+	former := NewTable("a")
+	former.Observe(Observation{Target: "e", Service: "s", Named: true, Rate: 1, SentAt: now}, now)
+	table := NewTable("a")
+	table.ApplyFormer(former.Report(now), now)
+	if table.Take("e", now) {
+		t.Error("a request without a permit")
+	}
+	table.Confirm(table.Report(now), now)
+	table.RecordRead(now)
+	if !table.Take("e", now.Add(settleTime)) {
+		t.Error("no request after the report was accepted")
+	}
+}
--- a/internal/targetlimit/worker.go
+++ b/internal/targetlimit/worker.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -47,8 +48,8 @@
 type Worker struct {
 	options Options
 	feed    *follow.Follower
-	// hasRow is set while this instance may have a row.
-	hasRow bool
+	// hasRow is set while this instance may have a row, hasWritten once this process has written one.
+	hasRow, hasWritten atomic.Bool
 }
 
 // NewWorker returns a worker that does nothing until Run is called.
@@ -68,20 +69,18 @@
 	return p.Wait()
 }
 
-// reportLoop writes the report after each change, and repeats it while there is something to tell. The row that a former
-// process of this instance left is removed at the start.
+// reportLoop writes the report after each change, and repeats it while there is something to tell.
 func (w *Worker) reportLoop(ctx context.Context) error {
-	w.hasRow = true
 	for ctx.Err() == nil {
 		report := w.options.Table.Report(time.Now())
-		if len(report.Targets) > 0 || w.hasRow {
+		if len(report.Targets) > 0 || w.hasRow.Load() {
 			if err := w.writeReport(ctx, report); err != nil && ctx.Err() == nil {
 				w.options.Log.Warn().Err(err).Msg(event.LimitReportWriteFailed)
 			}
 			wait.Sleep(ctx, minWriteInterval)
 		}
 		repeat := time.NewTimer(refreshInterval - minWriteInterval)
-		if !w.hasRow && len(report.Targets) == 0 {
+		if !w.hasRow.Load() && len(report.Targets) == 0 {
 			repeat.Stop()
 		}
 		select {
@@ -111,11 +110,12 @@
 		writes = append(writes, api.Write{Key: rowTable + "/" + instance, Expected: api.AnyRevision, Delete: &deleteRow})
 	}
 	// A write without a response may have taken effect.
-	w.hasRow = true
+	w.hasRow.Store(true)
+	w.hasWritten.Store(true)
 	if _, err := w.options.Store.Commit(ctx, api.Txn{Token: uuid.NewString(), Writes: writes}); err != nil {
 		return err
 	}
-	w.hasRow = len(report.Targets) > 0
+	w.hasRow.Store(len(report.Targets) > 0)
 	w.options.Table.Confirm(report, time.Now())
 	return nil
 }
@@ -125,7 +125,8 @@
 	now := time.Now()
 	for _, c := range changes {
 		instance := strings.TrimPrefix(c.Key, rowTable+"/")
-		if instance == w.options.Instance {
+		isOwn := instance == w.options.Instance
+		if isOwn && (c.Deleted || w.hasWritten.Load()) {
 			// This instance's own row shows that the feed works while no other instance reports.
 			continue
 		}
@@ -138,6 +139,12 @@
 			w.options.Log.Warn().Err(err).Str("row", c.Key).Int("revision", c.Revision).Msg(event.LimitReportDecodeFailed)
 			continue
 		}
+		if isOwn {
+			// A former process of this instance left the row. What it saw still holds.
+			w.hasRow.Store(true)
+			w.options.Table.ApplyFormer(report, now)
+			continue
+		}
 		w.options.Table.ApplyReport(instance, report, now)
 	}
 	w.options.Table.RecordRead(now)
--- a/tools/checklogs/main_test.go
+++ b/tools/checklogs/main_test.go
@@ -52,6 +52,7 @@
 		{"an instance that has just learned of it", append([]any{0, named("a"), 3100, named("b")}, requests(3200, 12, 20, "b")...), false},
 		{"sum of two", append(append([]any{0, named("a"), 100, named("b")}, requests(3100, 6, 100, "a")...), requests(3100, 6, 100, "b")...), true},
 		{"after its end", append([]any{0, named("a"), 3000, `event="target no longer names a limit" instance=a target=e`}, requests(3100, 20, 100, "a")...), false},
+		{"a new process that does not know", append([]any{0, named("a"), 3000, `event="instance started" instance=a`}, requests(3100, 20, 100, "a")...), false},
 		{"between two limits", append([]any{0, named("a"), 3000, `event="target no longer names a limit" instance=a target=e`, 9000, named("a")}, requests(3100, 20, 100, "a")...), false},
 		{"requests of callers", append([]any{0, named("a")}, requestsEnded(12)...), true},
 	} {
