live: a cancelled removal does not remove a target that came back

Change: the removal checks under the lock that it is still pending; the view changes under the same lock. Measured: TestCancelledRemovalKeepsTarget plays that order; the former removeAfterGrace removed the target in it whatever Set had done. Conclusion: fixed.

--- a/internal/live/target_updater.go
+++ b/internal/live/target_updater.go
@@ -16,24 +16,27 @@
 	onRemoved func()
 
 	mu sync.Mutex
-	// timers holds the pending removals by target ID.
-	timers map[string]*time.Timer
+	// removals holds the pending removals by target ID.
+	removals map[string]*removal
 }
 
+// removal is a pending removal of a target.
+type removal struct{ timer *time.Timer }
+
 // NewTargetUpdater returns an updater without pending removals. Within gracePeriod after an outage of the store,
 // removals from view are delayed; onRemoved is called after each delayed removal.
 func NewTargetUpdater(view *View, gracePeriod time.Duration, onRemoved func()) *TargetUpdater {
-	return &TargetUpdater{view: view, gracePeriod: gracePeriod, onRemoved: onRemoved, timers: map[string]*time.Timer{}}
+	return &TargetUpdater{view: view, gracePeriod: gracePeriod, onRemoved: onRemoved, removals: map[string]*removal{}}
 }
 
 // Set adds or replaces a target and cancels its pending removal.
 func (u *TargetUpdater) Set(t Target) {
 	u.mu.Lock()
-	if timer := u.timers[t.ID]; timer != nil {
-		timer.Stop()
-		delete(u.timers, t.ID)
+	defer u.mu.Unlock()
+	if removal := u.removals[t.ID]; removal != nil {
+		removal.timer.Stop()
+		delete(u.removals, t.ID)
 	}
-	u.mu.Unlock()
 	u.view.SetTarget(t)
 }
 
@@ -47,16 +50,24 @@
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.timers[id] == nil {
-		u.timers[id] = time.AfterFunc(u.gracePeriod-healthyFor, func() { u.removeAfterGrace(id) })
+	if u.removals[id] == nil {
+		removal := &removal{}
+		removal.timer = time.AfterFunc(u.gracePeriod-healthyFor, func() { u.removeAfterGrace(id, removal) })
+		u.removals[id] = removal
 	}
 	return false
 }
 
-func (u *TargetUpdater) removeAfterGrace(id string) {
+// removeAfterGrace removes a target unless the removal was cancelled, perhaps after its timer had fired.
+func (u *TargetUpdater) removeAfterGrace(id string, removal *removal) {
 	u.mu.Lock()
-	delete(u.timers, id)
+	isPending := u.removals[id] == removal
+	if isPending {
+		delete(u.removals, id)
+		u.view.RemoveTarget(id)
+	}
 	u.mu.Unlock()
-	u.view.RemoveTarget(id)
-	u.onRemoved()
+	if isPending {
+		u.onRemoved()
+	}
 }
--- a/internal/live/target_updater_test.go
+++ b/internal/live/target_updater_test.go
@@ -51,3 +51,17 @@
 		})
 	}
 }
+
+// Guards against a target that is removed although its entry came back while the removal waited for the lock.
+func TestCancelledRemovalKeepsTarget(t *testing.T) {
+	view := NewView()
+	updater := NewTargetUpdater(view, time.Hour, func() { t.Error("removal reported") })
+	updater.Set(Target{ID: "a"})
+	updater.Remove("a", 0)
+	removal := updater.removals["a"]
+	updater.Set(Target{ID: "a"})
+	updater.removeAfterGrace("a", removal)
+	if len(view.Targets()) != 1 {
+		t.Error("the target is gone")
+	}
+}
