--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -47,6 +47,12 @@
 	Changes(ctx context.Context, table string, after int, wait time.Duration) (api.Changes, error)
 }
 
+// Store is a Source whose rows can be written.
+type Store interface {
+	Source
+	Commit(ctx context.Context, txn api.Txn) (int, error)
+}
+
 // Options configure a Follower.
 type Options struct {
 	Table  string
--- a/internal/quarantine/worker.go
+++ b/internal/quarantine/worker.go
@@ -27,17 +27,11 @@
 	writeTimeout     = 2 * time.Second
 )
 
-// Store is the part of the table service that a Worker uses.
-type Store interface {
-	follow.Source
-	Commit(ctx context.Context, txn api.Txn) (int, error)
-}
-
 // Options configure a Worker.
 type Options struct {
 	Instance string
 	List     *List
-	Store    Store
+	Store    follow.Store
 	Log      zerolog.Logger
 }
 
--- a/internal/streams/worker.go
+++ b/internal/streams/worker.go
@@ -31,17 +31,11 @@
 	rowTTL = 3 * entryTTL
 )
 
-// Store is the part of the table service that a Worker uses.
-type Store interface {
-	follow.Source
-	Commit(ctx context.Context, txn api.Txn) (int, error)
-}
-
 // Options configure a Worker. Instance changes with every start.
 type Options struct {
 	Instance string
 	Table    *Table
-	Store    Store
+	Store    follow.Store
 	Log      zerolog.Logger
 }
 
