batch: the stored parts of a dropped text are not joined to the text that replaced it

After a takeover a text could have the beginning of one generation and the rest of another. Cause: a text that began again kept the mark up to which it was stored, so its next segment continued the old one when it had grown past the mark within a second. Found by reading the change; the same held for texts that began again for another weight version or their length. Class: parts joined from two sources. Change: one function drops a text together with the mark. Measured: TestSegmentsOfDroppedTextAreNotJoined gives 'old old old new new' without the reset, the new text whole with it.

--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -227,7 +227,7 @@
 	isReplaced := isListed && target.Software != run.Target.Software
 	if isReplaced && item.text.Last > run.LastEvent && !item.done && (ending == Complete || now.Sub(startedAt) < maxEntryLag) {
 		// The engine came back with another version, perhaps before it got this run.
-		item.text = Text{}
+		item.dropText()
 		ending = Broken
 	}
 	switch {
@@ -324,12 +324,12 @@
 	}
 	if o.job.SingleVersion && len(item.text.Versions) > 0 && item.text.Versions[0] != e.Version {
 		// Only a restart can generate the whole text with one version.
-		item.text = Text{}
+		item.dropText()
 		return ErrVersionNotAllowed
 	}
 	if item.isTooLong(e) {
 		// It is unknown which part of the text is valid.
-		item.text = Text{}
+		item.dropText()
 		return errTextTooLong
 	}
 	if item.text.Last == 0 {
--- a/internal/batch/progress.go
+++ b/internal/batch/progress.go
@@ -277,6 +277,12 @@
 	return p.requeue(s, now, now, "")
 }
 
+// dropText makes an item begin again. The next segment begins at the start, so that it is not joined to stored ones.
+func (s *itemState) dropText() {
+	s.text = Text{}
+	s.savedEvent, s.savedBytes, s.savedComplete = 0, 0, false
+}
+
 // restartIfStranded drops the text of a pending item that no engine can continue, or not within the time that it takes to
 // generate it again. It reports whether it did. isServed tells whether any engine has the text's software version, and
 // generationTime is the time for the text.
@@ -284,7 +290,7 @@
 	if s.text.Last == 0 || isServed && now.Sub(s.queuedAt) < generationTime {
 		return false
 	}
-	s.text = Text{}
+	s.dropText()
 	return true
 }
 
--- a/internal/batch/software_test.go
+++ b/internal/batch/software_test.go
@@ -185,3 +185,26 @@
 		}
 	})
 }
+
+// Guards against a stored text that joins the beginning of a dropped text with the rest of the one that replaced it.
+func TestSegmentsOfDroppedTextAreNotJoined(t *testing.T) {
+	job := newJob("job", 1)
+	p := newProgress(job)
+	s := p.items["job-000"]
+	write := func(from, to int, data string) {
+		for n := from; n <= to; n++ {
+			if err := s.text.Append(Event{ID: n, Data: []byte(data), Version: 1}); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	write(1, 3, "old")
+	first := p.takeUnsaved()
+	p.restartIfStranded(s, false, 0, time.Now())
+	write(1, 5, "new")
+	second := p.takeUnsaved()
+	joined := joinSegments([]storedSegments{{"term", first}, {"term", second}})
+	if got := string(joined["job-000"].Text.Output); got != "new\nnew\nnew\nnew\nnew" {
+		t.Errorf("stored text %q", got)
+	}
+}
