--- a/internal/placement/move.go
+++ b/internal/placement/move.go
@@ -25,7 +25,7 @@
 	Key    string
 	Engine string
 	Group  string
-	// Software is the version of the engine that generated the item's text; it matters if HasText is set.
+	// HasText is set for an item that has text. Only engines with the version Software may continue it.
 	HasText  bool
 	Software string
 	// Remaining is the expected number of events until the item completes.
--- a/internal/targetlimit/share.go
+++ b/internal/targetlimit/share.go
@@ -13,15 +13,15 @@
 	// after a caller's request: the next one may come to it much later.
 	waitingTTL = time.Second
 	callerTTL  = 20 * time.Second
-	// settleTime is the time from the confirmation of an instance's report until it uses its share, so that the other
-	// instances have reduced theirs.
+	// settleTime is the time from the confirmation of an instance's report until it uses its part of the rate, so that
+	// the other instances have reduced theirs.
 	settleTime = 600 * time.Millisecond
 	// peerTTL is how long the report of another instance counts. Instances repeat it every refreshInterval.
 	peerTTL = 2500 * time.Millisecond
 	// staleAfter is the time without a confirmed report, or without a read of the others, after which the other instances
 	// may no longer count this one.
 	staleAfter = 2 * time.Second
-	// staleFactor reduces the share of an instance that the others may no longer count: they then share the whole rate.
+	// staleFactor reduces the part of an instance that the others may no longer count: they then use the whole rate.
 	staleFactor = 0.5
 	// minRate keeps a target in use whose limit is zero or nearly so. Only a response tells that the limit has ended.
 	minRate = 0.25
