batch: a refused text begins again in time

A text whose few engines refuse it again and again could wait until its item expired, though engines of the other version had room. Cause: each refusal began the item's wait anew. Found by reading the change. Change: the wait counts from the time when the text last grew. Measured: TestRefusedTextBeginsAgainInTime waits forever without the change. Conclusion: a text loses at most as long again as it took.

--- a/internal/batch/progress.go
+++ b/internal/batch/progress.go
@@ -66,8 +66,9 @@
 	// failures counts the runs that an engine reported as failed, breaks the broken ones since the last new event.
 	failures int
 	breaks   int
-	// notBefore is the earliest time of the next run, queuedAt when the item last became pending.
-	notBefore, queuedAt time.Time
+	// notBefore is the earliest time of the next run, waitsSince when the item became pending after its text
+	// last grew.
+	notBefore, waitsSince time.Time
 	// hasStoredText is set when an earlier job or a former owner stored text of the item, even if this job cannot
 	// use it.
 	hasStoredText bool
@@ -178,7 +179,7 @@
 		if s.running || s.text.Last > 0 || !t.Text.isUsableFor(p.job) {
 			continue
 		}
-		s.text, s.queuedAt = t.Text, now
+		s.text, s.waitsSince = t.Text, now
 		if t.Whole {
 			p.completeText(s, now)
 		}
@@ -287,7 +288,7 @@
 // generate it again. It reports whether it did. isServed tells whether any engine has the text's software version, and
 // generationTime is the time for the text.
 func (p *progress) restartIfStranded(s *itemState, isServed bool, generationTime time.Duration, now time.Time) bool {
-	if s.text.Last == 0 || isServed && now.Sub(s.queuedAt) < generationTime {
+	if s.text.Last == 0 || isServed && now.Sub(s.waitsSince) < generationTime {
 		return false
 	}
 	s.dropText()
@@ -296,7 +297,10 @@
 
 // requeue makes an item pending again and returns reason.
 func (p *progress) requeue(s *itemState, now, notBefore time.Time, reason outcome.RetryReason) outcome.RetryReason {
-	s.notBefore, s.queuedAt = notBefore, now
+	s.notBefore = notBefore
+	if s.text.Last != s.startEvent || s.waitsSince.IsZero() {
+		s.waitsSince = now
+	}
 	// Items that ran before are placed first, because their groups wait for them.
 	p.pending = slices.Insert(p.pending, 0, s)
 	return reason
--- a/internal/batch/software_test.go
+++ b/internal/batch/software_test.go
@@ -208,3 +208,27 @@
 		t.Errorf("stored text %q", got)
 	}
 }
+
+// Guards against an item that the few engines of its version refuse again and again while others have room: each refusal must
+// not begin its wait anew.
+func TestRefusedTextBeginsAgainInTime(t *testing.T) {
+	now := time.Now()
+	p := newProgress(newJob("job", 1))
+	s := p.items["job-000"]
+	_, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	p.startRun(s, "e0", now, cancel)
+	s.text = Text{Output: []byte("x"), Last: 10, Versions: []int{1}, Software: "v1"}
+	p.endRun(s, Broken, now)
+	for range 9 {
+		now = now.Add(50 * time.Millisecond)
+		if p.restartIfStranded(s, true, 500*time.Millisecond, now) {
+			t.Fatalf("began again after %v", now.Sub(s.waitsSince))
+		}
+		p.startRun(s, "e0", now, cancel)
+		p.endRun(s, NotRun, now)
+	}
+	if now = now.Add(50 * time.Millisecond); !p.restartIfStranded(s, true, 500*time.Millisecond, now) {
+		t.Error("waits longer than generating the text again takes")
+	}
+}
