--- a/tools/checklogs/limits.go
+++ b/tools/checklogs/limits.go
@@ -69,8 +69,8 @@
 	return findings
 }
 
-// requestsOf returns the targets to which a line says that a request was sent, and when. The failed attempts of a request
-// are counted at the time of its last one.
+// requestsOf returns the targets to which a line says that a request was sent, and when. All attempts of a request count at
+// its start, those of a reward call at their end.
 func requestsOf(l line) map[string]time.Time {
 	switch l.fields["event"] {
 	case event.ItemRunStarted, event.RewardAttemptEnded:
@@ -99,32 +99,25 @@
 func worstWindow(target string, requests []sent, namings []naming, starts map[string][]time.Time) string {
 	slices.SortFunc(requests, func(a, b sent) int { return a.at.Compare(b.at) })
 	slices.SortFunc(namings, func(a, b naming) int { return a.at.Compare(b.at) })
-	first, last, highest := namings[0].at, namings[len(namings)-1].at, 0.0
-	if namings[len(namings)-1].rate >= 0 {
-		// No instance saw the end.
-		last = lastSent(requests)
-	}
-	for _, n := range namings {
-		highest = max(highest, n.rate)
-	}
-	allowed := limitFactor*highest*limitWindow.Seconds() + limitSlack
+	first := namings[0].at
 	var counted []sent
 	for _, r := range requests {
-		if knowsLimit(r, namings, starts[r.instance]) && !r.at.Before(first.Add(limitGrace)) && !r.at.After(last) && isLimited(namings, r.at) {
+		if knowsLimit(r, namings, starts[r.instance]) && !r.at.Before(first.Add(limitGrace)) && isLimited(namings, r.at) {
 			counted = append(counted, r)
 		}
 	}
-	worst, start := 0, 0
+	worst, start, excess, limit := 0, 0, 0.0, 0.0
 	for i := range counted {
 		end := i
 		for end < len(counted) && counted[end].at.Sub(counted[i].at) < limitWindow {
 			end++
 		}
-		if end-i > worst {
-			worst, start = end-i, i
+		highest := highestLimit(namings, counted[i].at, counted[end-1].at)
+		if over := float64(end-i) - allowedIn(highest); over > excess {
+			worst, start, excess, limit = end-i, i, over, highest
 		}
 	}
-	if float64(worst) <= allowed {
+	if worst == 0 {
 		return ""
 	}
 	instances := map[string]bool{}
@@ -132,7 +125,7 @@
 		instances[r.instance] = true
 	}
 	return fmt.Sprintf("limit: target %s got %d requests of %d instances in 4 s from %s, allowed %.1f (limit %.3g)",
-		target, worst, len(instances), counted[start].at.Format("15:04:05.000"), allowed, highest)
+		target, worst, len(instances), counted[start].at.Format("15:04:05.000"), allowedIn(limit), limit)
 }
 
 // knowsLimit reports whether a response had named a limit to the process that sent a request, knownAfter before or earlier.
@@ -161,9 +154,17 @@
 	return limited
 }
 
-func lastSent(requests []sent) time.Time {
-	if len(requests) == 0 {
-		return time.Time{}
+// allowedIn returns how many requests a limit allows in a window.
+func allowedIn(limit float64) float64 { return limitFactor*limit*limitWindow.Seconds() + limitSlack }
+
+// highestLimit returns the highest limit that was in force between two times. namings are in the order of their times.
+func highestLimit(namings []naming, from, to time.Time) float64 {
+	highest := 0.0
+	for i, n := range namings {
+		isOver := i+1 < len(namings) && !namings[i+1].at.After(from)
+		if !isOver && !n.at.After(to) {
+			highest = max(highest, n.rate)
+		}
 	}
-	return requests[len(requests)-1].at
+	return highest
 }
--- a/tools/checklogs/main_test.go
+++ b/tools/checklogs/main_test.go
@@ -53,6 +53,8 @@
 		{"sum of two", append(append([]any{0, named("a"), 100, named("b")}, requests(3100, 6, 100, "a")...), requests(3100, 6, 100, "b")...), true},
 		{"after its end", append([]any{0, named("a"), 3000, `event="target no longer names a limit" instance=a target=e`}, requests(3100, 20, 100, "a")...), false},
 		{"a new process that does not know", append([]any{0, named("a"), 3000, `event="instance started" instance=a`}, requests(3100, 20, 100, "a")...), false},
+		{"above a limit that was higher before", append([]any{0, `event="target names a limit" instance=a limit=9 target=e`, 3000, named("a")}, requests(3100, 12, 100, "a")...), true},
+		{"below a limit that dropped within the window", append(append([]any{0, `event="target names a limit" instance=a limit=9 target=e`, 3900, named("a")}, requests(3100, 8, 50, "a")...), requests(4000, 8, 50, "a")...), false},
 		{"between two limits", append([]any{0, named("a"), 3000, `event="target no longer names a limit" instance=a target=e`, 9000, named("a")}, requests(3100, 20, 100, "a")...), false},
 		{"requests of callers", append([]any{0, named("a")}, requestsEnded(12)...), true},
 	} {
