targetlimit: nothing is kept for peers that report nothing; one lock a round

Cause: in our own deployment every state frame of a peer walked all peers, also without any limit; placement took a lock for each engine in each round; Table.Rate had only its test as a caller. Change: an empty report removes the peer's entry, Limited returns all limited targets at once, Rate is the test's own.

--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -78,7 +78,7 @@
 		}
 	}
 	assigned := map[string]map[string]string{}
-	config, now := s.options.View.Config(), time.Now()
+	config, limited := s.options.View.Config(), s.options.Limits.Limited(time.Now())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for model, service := range services {
@@ -89,7 +89,7 @@
 		for _, t := range engines[service] {
 			poolEngines = append(poolEngines, placement.Engine{
 				ID: t.ID, Slots: t.Slots, Version: t.Versions[model], Assigned: assigned[service][t.ID] == model, StartNumber: t.StartNumber,
-				Software: t.Software, Limited: s.options.Limits.IsLimited(t.ID, now),
+				Software: t.Software, Limited: limited[t.ID],
 			})
 		}
 		s.poolLocked(model).SetEngines(poolEngines)
--- a/internal/targetlimit/report.go
+++ b/internal/targetlimit/report.go
@@ -106,6 +106,10 @@
 		t.applyTarget(id, reported, now)
 	}
 	t.peersVersion++
+	if len(r.Targets) == 0 {
+		delete(t.peers, instance)
+		return
+	}
 	t.peers[instance] = peer{wanted: wanted, sent: sent, receivedAt: now}
 }
 
--- a/internal/targetlimit/share.go
+++ b/internal/targetlimit/share.go
@@ -113,11 +113,17 @@
 	}
 }
 
-// IsLimited reports whether the requests to a target are restricted.
-func (t *Table) IsLimited(target string, now time.Time) bool {
+// Limited returns the targets whose requests are restricted.
+func (t *Table) Limited(now time.Time) map[string]bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.limited(target, now) != nil
+	limited := map[string]bool{}
+	for id := range t.targets {
+		if t.limited(id, now) != nil {
+			limited[id] = true
+		}
+	}
+	return limited
 }
 
 // MayUse reports whether this instance may send a request to a target now.
--- a/internal/targetlimit/table.go
+++ b/internal/targetlimit/table.go
@@ -146,17 +146,6 @@
 	}
 }
 
-// Rate returns the limit that a target names, and false if it names none.
-func (t *Table) Rate(target string) (float64, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e := t.targets[target]
-	if e == nil || !e.endedAt.IsZero() {
-		return 0, false
-	}
-	return e.rate, true
-}
-
 // Count returns the number of targets that name a limit.
 func (t *Table) Count(now time.Time) int64 {
 	t.mu.Lock()
--- a/internal/targetlimit/table_test.go
+++ b/internal/targetlimit/table_test.go
@@ -55,7 +55,7 @@
 		if got := table.Observe(o, at(step.atMs)); got != step.change {
 			t.Errorf("%d ms: change %v, want %v", step.atMs, got, step.change)
 		}
-		rate, limited := table.Rate("e")
+		rate, limited := table.namedRate("e")
 		if limited != step.limited || step.named && rate != step.rate {
 			t.Errorf("%d ms: rate %v, %v", step.atMs, rate, limited)
 		}
@@ -78,3 +78,12 @@
 		t.Error("no request after the report was accepted")
 	}
 }
+
+// namedRate returns the limit that a target names, and false if it names none.
+func (t *Table) namedRate(target string) (float64, bool) {
+	e := t.targets[target]
+	if e == nil || !e.endedAt.IsZero() {
+		return 0, false
+	}
+	return e.rate, true
+}
