batch: a stranded text is looked for before a place elsewhere

Cause: each round asked for a place at engines of other versions for every text that still waited for its own. Change: the cheap question comes first, and one that only asks replaces one that also dropped the text; the tests set up their engines in one place.

--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -175,13 +175,14 @@
 		return id, ok
 	}
 	last, software := item.text.Last, item.text.Software
-	request.Continues = false
-	if id, ok = pool.Place(request, now); !ok {
+	if !item.isStranded(pool.Serves(software, o.job.MinVersion), pool.GenerationTime(last, now), now) {
 		return "", false
 	}
-	if !o.progress.restartIfStranded(item, pool.Serves(software, o.job.MinVersion), pool.GenerationTime(last, now), now) {
+	request.Continues = false
+	if id, ok = pool.Place(request, now); !ok {
 		return "", false
 	}
+	item.dropText()
 	o.service.options.Log.Debug().Str("job", o.job.ID).Str("item", item.item.ID).Int("last", last).Str("software", software).Msg(event.ItemRestarted)
 	return id, true
 }
--- a/internal/batch/progress.go
+++ b/internal/batch/progress.go
@@ -284,15 +284,11 @@
 	s.savedEvent, s.savedBytes, s.savedComplete = 0, 0, false
 }
 
-// restartIfStranded drops the text of a pending item that no engine can continue, or not within the time that it takes to
-// generate it again. It reports whether it did. isServed tells whether any engine has the text's software version, and
-// generationTime is the time for the text.
-func (p *progress) restartIfStranded(s *itemState, isServed bool, generationTime time.Duration, now time.Time) bool {
-	if s.text.Last == 0 || isServed && now.Sub(s.waitsSince) < generationTime {
-		return false
-	}
-	s.dropText()
-	return true
+// isStranded reports whether no engine can continue the text of a pending item, or not within the time that it takes to
+// generate it again. isServed tells whether any engine has the text's software version, and generationTime is the time for
+// the text.
+func (s *itemState) isStranded(isServed bool, generationTime time.Duration, now time.Time) bool {
+	return !isServed || now.Sub(s.waitsSince) >= generationTime
 }
 
 // requeue makes an item pending again and returns reason.
--- a/internal/batch/software_test.go
+++ b/internal/batch/software_test.go
@@ -17,6 +17,15 @@
 	})
 }
 
+// newMixedCluster returns a cluster with two engines of each of two software versions.
+func newMixedCluster(t *testing.T) *cluster {
+	c := newCluster(t)
+	for i, software := range []string{"v1", "v1", "v2", "v2"} {
+		c.setSoftware(fmt.Sprint("e", i), software, false)
+	}
+	return c
+}
+
 // mixedTexts returns the runs that continued a text of another software version than their own.
 func (f *fakeRunner) mixedTexts() []string {
 	f.mu.Lock()
@@ -104,10 +113,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				c := newCluster(t)
-				for i, software := range []string{"v1", "v1", "v2", "v2"} {
-					c.setSoftware(fmt.Sprint("e", i), software, false)
-				}
+				c := newMixedCluster(t)
 				a, b := c.start("a/1"), c.start("b/1")
 				defer c.stop(a, b)
 				job := newJob("job", 24)
@@ -153,10 +159,7 @@
 // Guards against a carried-over text that goes on at another software version in the next job of its route.
 func TestCarriedTextGoesOnAtItsSoftwareVersion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t)
-		for i, software := range []string{"v1", "v1", "v2", "v2"} {
-			c.setSoftware(fmt.Sprint("e", i), software, false)
-		}
+		c := newMixedCluster(t)
 		a, b := c.start("a/1"), c.start("b/1")
 		defer c.stop(a, b)
 		first := newJob("one", 8)
@@ -200,7 +203,7 @@
 	}
 	write(1, 3, "old")
 	first := p.takeUnsaved()
-	p.restartIfStranded(s, false, 0, time.Now())
+	s.dropText()
 	write(1, 5, "new")
 	second := p.takeUnsaved()
 	joined := joinSegments([]storedSegments{{"term", first}, {"term", second}})
@@ -222,13 +225,13 @@
 	p.endRun(s, Broken, now)
 	for range 9 {
 		now = now.Add(50 * time.Millisecond)
-		if p.restartIfStranded(s, true, 500*time.Millisecond, now) {
+		if s.isStranded(true, 500*time.Millisecond, now) {
 			t.Fatalf("began again after %v", now.Sub(s.waitsSince))
 		}
 		p.startRun(s, "e0", now, cancel)
 		p.endRun(s, NotRun, now)
 	}
-	if now = now.Add(50 * time.Millisecond); !p.restartIfStranded(s, true, 500*time.Millisecond, now) {
+	if now = now.Add(50 * time.Millisecond); !s.isStranded(true, 500*time.Millisecond, now) {
 		t.Error("waits longer than generating the text again takes")
 	}
 }
