node: a report of limits counts as sent when it is sent

Cause: composing the state for a single new link confirmed the report as well, before the other peers could have it. Change: the confirmation follows the broadcast. Measured: TestInstancesKeepLimitOfPlainTarget passes; the two differ by at most one interval of 0.5 s. Conclusion: the settling time begins at the broadcast, as its comment says.

--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -62,8 +62,6 @@
 			Target: id, Service: &t.Service, Rate: &t.Rate, NamedMs: t.NamedAgeMs, EndedMs: t.EndedAgeMs, Wanted: &t.Wanted, Sent: t.Sent,
 		})
 	}
-	// The state is queued for the peers now; settling takes longer than its delivery.
-	n.limits.Confirm(report, now)
 	return limits
 }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -90,6 +90,7 @@
 func (n *Node) broadcast() {
 	state, guardRevision := n.composeState()
 	n.links.Broadcast(state)
+	n.limits.Confirm(limitReportOf(state.Limits), time.Now())
 	// Broadcast only queues the frame. The peers must have received it before the caller gets a failed response and
 	// resends the request to one of them.
 	time.AfterFunc(stateDeliveryDelay, func() { n.guard.MarkStateSent(guardRevision) })
