platform/api: one function for the write that deletes a row

Cause: seven places built it, three of them with a variable for the pointer alone; claim had the function already. Change: api.Deletion, from claim. Measured: tests of claim, usage, batch, quarantine, streams and targetlimit pass. Conclusion: no behaviour changed.

--- a/internal/batch/clean.go
+++ b/internal/batch/clean.go
@@ -57,11 +57,10 @@
 	for _, row := range s.rows {
 		ownsOpenJob[row.Owner] = ownsOpenJob[row.Owner] || !row.Ended
 	}
-	remove := true
 	var writes []api.Write
 	for owner, lastHeartbeat := range s.lastHeartbeat {
 		if !ownsOpenJob[owner] && s.options.Now().Sub(lastHeartbeat) > heartbeatRetention && len(writes) < maxCleanRows {
-			writes = append(writes, api.Write{Key: ownerTable + "/" + owner, Expected: api.AnyRevision, Delete: &remove})
+			writes = append(writes, api.Deletion(ownerTable+"/"+owner, api.AnyRevision))
 		}
 	}
 	s.mu.Unlock()
@@ -136,10 +135,9 @@
 
 // removeRows removes rows in one transaction, on condition that none of them changed.
 func (s *Service) removeRows(ctx context.Context, rows []api.Row) error {
-	remove := true
 	txn := api.Txn{Token: uuid.NewString()}
 	for _, row := range rows {
-		txn.Writes = append(txn.Writes, api.Write{Key: row.Key, Expected: row.Revision, Delete: &remove})
+		txn.Writes = append(txn.Writes, api.Deletion(row.Key, row.Revision))
 	}
 	_, err := s.options.Store.Commit(ctx, txn)
 	return err
--- a/internal/claim/run.go
+++ b/internal/claim/run.go
@@ -88,7 +88,7 @@
 	for _, claim := range c.takeExpired(now, maxRemovals) {
 		_, revision := claim.snapshot()
 		if revision != api.NoRevision {
-			c.committer.submit(deletion(claim.key, revision))
+			c.committer.submit(api.Deletion(claim.key, revision))
 		}
 	}
 }
@@ -102,13 +102,8 @@
 		if err != nil || !found.isExpired(now) {
 			continue
 		}
-		c.committer.submit(deletion(row.Key, row.Revision))
+		c.committer.submit(api.Deletion(row.Key, row.Revision))
 		removed++
 	}
 	return removed
 }
-
-func deletion(key string, revision int) api.Write {
-	remove := true
-	return api.Write{Key: key, Expected: revision, Delete: &remove}
-}
--- a/internal/platform/api/value.go
+++ b/internal/platform/api/value.go
@@ -12,3 +12,9 @@
 	text := string(data)
 	return &text
 }
+
+// Deletion returns the write that deletes a row of a revision.
+func Deletion(key string, revision int) Write {
+	remove := true
+	return Write{Key: key, Expected: revision, Delete: &remove}
+}
--- a/internal/quarantine/worker.go
+++ b/internal/quarantine/worker.go
@@ -80,11 +80,10 @@
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	now := time.Now()
-	deleteRow := true
 	report := api.EncodeValue(w.options.List.Report(now))
 	writes := []api.Write{{Key: table + "/" + w.options.Instance, Expected: api.AnyRevision, Value: report}}
 	for _, instance := range w.options.List.ExpiredReporters(now) {
-		writes = append(writes, api.Write{Key: table + "/" + instance, Expected: api.AnyRevision, Delete: &deleteRow})
+		writes = append(writes, api.Deletion(table+"/"+instance, api.AnyRevision))
 	}
 	_, err := w.options.Store.Commit(ctx, api.Txn{Token: uuid.NewString(), Writes: writes})
 	return err
--- a/internal/streams/worker.go
+++ b/internal/streams/worker.go
@@ -101,9 +101,8 @@
 			Key: fmt.Sprintf("%s/%s/%d", rowTable, w.options.Instance, w.sequence), Expected: api.AnyRevision, Value: api.EncodeValue(entries),
 		})
 	}
-	deleteRow := true
 	for _, key := range removals {
-		writes = append(writes, api.Write{Key: key, Expected: api.AnyRevision, Delete: &deleteRow})
+		writes = append(writes, api.Deletion(key, api.AnyRevision))
 	}
 	if len(writes) == 0 {
 		return
--- a/internal/targetlimit/worker.go
+++ b/internal/targetlimit/worker.go
@@ -91,17 +91,13 @@
 func (w *Worker) writeReport(ctx context.Context, report Report) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	write := api.Write{Key: rowTable + "/" + w.options.Instance, Expected: api.AnyRevision}
+	key := rowTable + "/" + w.options.Instance
+	writes := []api.Write{{Key: key, Expected: api.AnyRevision, Value: api.EncodeValue(report)}}
 	if len(report.Targets) == 0 {
-		deleteRow := true
-		write.Delete = &deleteRow
-	} else {
-		write.Value = api.EncodeValue(report)
+		writes[0] = api.Deletion(key, api.AnyRevision)
 	}
-	writes := []api.Write{write}
 	for _, instance := range w.options.Table.ExpiredReporters(time.Now()) {
-		deleteRow := true
-		writes = append(writes, api.Write{Key: rowTable + "/" + instance, Expected: api.AnyRevision, Delete: &deleteRow})
+		writes = append(writes, api.Deletion(rowTable+"/"+instance, api.AnyRevision))
 	}
 	// A write without a response may have taken effect.
 	w.hasRow.Store(true)
--- a/internal/usage/closer.go
+++ b/internal/usage/closer.go
@@ -289,9 +289,8 @@
 // expiredRowDeletes deletes the rows that exceed retainedWindows when one more is written.
 func expiredRowDeletes(s tableState) []api.Write {
 	var writes []api.Write
-	isDelete := true
 	for _, row := range s.rows[:s.surplusRows()] {
-		writes = append(writes, api.Write{Key: row.key, Expected: row.revision, Delete: &isDelete})
+		writes = append(writes, api.Deletion(row.key, row.revision))
 	}
 	return writes
 }
