reach: instances log when all their links to targets are lost

Cause: the logs showed failed attempts one by one, but not whether an instance reached no target at all, since when, and whether others did.

Change: the forwarder records opened connections, responses and attempts without either in package reach, whose worker logs the loss and the return. tools/checklogs compares requests served at such instances and at the others.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -57,6 +57,8 @@
 	RewardAttemptEnded        Name = "reward attempt ended"
 	SettingsReadFailed        Name = "settings not read, the previous ones stay in force"
 	SettingsReloaded          Name = "settings reloaded"
+	LinksLost                 Name = "links to all targets lost"
+	LinksRestored             Name = "links to targets restored"
 	Started                   Name = "instance started"
 	StopRequested             Name = "stop requested"
 	Stopped                   Name = "instance stopped"
@@ -141,6 +143,8 @@
 	RewardAttemptEnded:        "one attempt of an item's reward call ended; `reward` is its request id, `target`, `ending`, `status`, `gave_up` if the item fails, `waited` since the end of the text",
 	SettingsReadFailed:        "the settings file is missing or invalid; the process continues with the previous settings",
 	SettingsReloaded:          "memory, grace period and job lifetime apply at once; `restart` says that other settings changed, which take effect after a restart",
+	LinksLost:                 "no target has been reached directly for `lost_for` ms, after attempts at this many `targets`",
+	LinksRestored:             "a target was reached directly again, `elapsed` after the first failed attempt",
 	Started:                   "the process serves requests",
 	StopRequested:             "the process received SIGTERM",
 	Stopped:                   "the process exits",
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/egretspar/egretspar/internal/reach"
 )
 
 // defaultRequestIDHeader carries the request ID to the target. If the target repeats it in the response, a
@@ -53,6 +55,8 @@
 	// requestIDHeader names the header that carries the request ID.
 	requestIDHeader string
 	observeResponse func(request *http.Request, response *http.Response, sentAt time.Time)
+	// reach learns which targets are reached; it may be nil.
+	reach *reach.Table
 	// pools maps the URL of each target to its *targetPool.
 	pools sync.Map
 }
@@ -69,7 +73,7 @@
 	if tlsConfig == nil {
 		tlsConfig = &tls.Config{MinVersion: tls.VersionTLS12}
 	}
-	c := &client{limits: options.Limits, requestIDHeader: options.Dialect.RequestIDHeader, observeResponse: options.Dialect.ObserveResponse}
+	c := &client{limits: options.Limits, requestIDHeader: options.Dialect.RequestIDHeader, observeResponse: options.Dialect.ObserveResponse, reach: options.Reach}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	c.transport = &http.Transport{
@@ -155,10 +159,15 @@
 	if u.Port() == "" {
 		address = net.JoinHostPort(u.Hostname(), map[bool]string{true: "443", false: "80"}[u.Scheme == "https"])
 	}
+	begin := time.Now()
 	cc, err := c.transport.NewClientConn(context.WithValue(ctx, connContextKey{}, opened), u.Scheme, address)
 	if err != nil {
+		if !errors.Is(ctx.Err(), context.Canceled) {
+			c.reach.Failed(u.Host, begin, time.Now())
+		}
 		return nil, err
 	}
+	c.reach.Opened(u.Host, time.Now())
 	opened.clientConn = cc
 	return opened, nil
 }
@@ -190,12 +199,16 @@
 			stage = stageUnsent
 		}
 		connection.closeClientConn()
+		if ctx.Err() == nil || time.Since(sentAt) >= reach.SilentAfter {
+			c.reach.Failed(pool.baseURL.Host, sentAt, time.Now())
+		}
 		if reusedConn && ctx.Err() == nil {
 			// The target has probably closed its other idle connections too.
 			pool.closeIdle(0, time.Now())
 		}
 		return nil, &sendError{stage: stage, cause: err, reusedConn: reusedConn}
 	}
+	c.reach.Answered(pool.baseURL.Host, time.Now())
 	if echoed := response.Header.Get(c.requestIDHeader); echoed != "" && echoed != request.Header.Get(c.requestIDHeader) {
 		connection.closeClientConn()
 		return nil, &sendError{stage: stageSent, cause: errors.New("response belongs to another request")}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -14,6 +14,7 @@
 	"github.com/egretspar/egretspar/internal/claim"
 	"github.com/egretspar/egretspar/internal/config"
 	"github.com/egretspar/egretspar/internal/outcome"
+	"github.com/egretspar/egretspar/internal/reach"
 	"github.com/egretspar/egretspar/internal/respond"
 	"github.com/egretspar/egretspar/internal/target"
 )
@@ -139,6 +140,8 @@
 	Limits           Limits
 	// Dialect is egretspar's own if it is zero.
 	Dialect Dialect
+	// Reach learns which targets are reached. It may be nil.
+	Reach *reach.Table
 	// TLS is used for targets with https URLs; nil means the root certificates of the system.
 	TLS *tls.Config
 	// DialContext replaces the network in tests.
--- a/tools/checklogs/main_test.go
+++ b/tools/checklogs/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -147,3 +148,33 @@
 		t.Errorf("starts %+v", starts)
 	}
 }
+
+// Guards against a count that misses instances whose callers fail because their links are lost, or that finds instances that
+// serve them all the same, whose links are just lost, or beside which the others fail too.
+func TestCheckLinks(t *testing.T) {
+	requests := func(from, count int, instance, outcome string) []any {
+		var all []any
+		for n := range count {
+			all = append(all, from+n*100, fmt.Sprintf(`event="request ended" elapsed=20 instance=%s outcome=%s`, instance, outcome))
+		}
+		return all
+	}
+	lost := []any{700, `event="links to all targets lost" instance=a lost_for=700 targets=2`}
+	for _, tc := range []struct {
+		name    string
+		entries [][]any
+		found   bool
+	}{
+		{"served nowhere there", [][]any{lost, requests(3100, 20, "a", "not_run"), requests(3100, 20, "b", "ran")}, true},
+		{"served there", [][]any{lost, requests(3100, 20, "a", "ran"), requests(3100, 20, "b", "ran")}, false},
+		{"a few failures", [][]any{lost, requests(3100, 10, "a", "unknown"), requests(3100, 20, "b", "ran")}, false},
+		{"just lost", [][]any{lost, requests(800, 20, "a", "not_run"), requests(800, 20, "b", "ran")}, false},
+		{"others fail too", [][]any{lost, requests(3100, 20, "a", "not_run"), requests(3100, 20, "b", "unknown")}, false},
+		{"restored", [][]any{lost, {2000, `event="links to targets restored" instance=a elapsed=2000`}, requests(5100, 20, "a", "not_run"), requests(5100, 20, "b", "ran")}, false},
+	} {
+		findings := checkLinks(logOf(t, slices.Concat(tc.entries...)...))
+		if (len(findings) > 0) != tc.found {
+			t.Errorf("%s: %q", tc.name, findings)
+		}
+	}
+}
