reach, forward: requests go through another instance while the links to their targets are cut

What callers saw: at instances that had lost their links to all targets, each request ended with 502 after 400 to 800 ms, none were served, while instances beside them reached every target.

Cause: the only way from an instance to a target was the direct one, so a cut link, which says nothing about the target, was handled as if the target had failed: another target was tried, behind the same cut. Class: a process that those who check it find healthy (balancer, store) and that is useless to those who need it.

Change: each instance listens on a port for the others and names it in a row. Package reach decides without I/O, from connections that open or fail here, from responses, and from what another instance reached, whether a request goes directly or through another instance; so a target that is gone for all, a restart or a refusal is no cut. A connection that is not open after 100 ms, or fails, makes the request go through up to three other instances, the own zone first, then others. That instance sends it directly, so there is one hop. Items, rewards and streams use the same way; orders and reports of engines never do, because their sender must be the lease holder.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -51,6 +51,9 @@
 	RequestEnded              Name = "request ended"
 	RequestRefused            Name = "request refused"
 	RequestsInterrupted       Name = "requests interrupted at the end of the grace period"
+	ReachDecodeFailed         Name = "row of another instance not decoded"
+	ReachWriteFailed          Name = "row of this instance not written"
+	RelayServeFailed          Name = "port for other instances not opened"
 	ResultsAppended           Name = "results appended"
 	ResultsRead               Name = "results read"
 	ResultsReadFailed         Name = "results not read"
@@ -137,13 +140,16 @@
 	RequestEnded:              "a request ended; `target`, `status`, `outcome`, `reason`, `attempts`, `elapsed`",
 	RequestRefused:            "this instance refused a request; `reason`, configuration `version` and its `age`",
 	RequestsInterrupted:       "the grace period of a graceful shutdown ended before the last requests did",
+	ReachDecodeFailed:         "another instance's row could not be decoded; requests go through it as its previous row says",
+	ReachWriteFailed:          "other instances do not know yet where this one takes their requests, or whether it reaches targets itself; the write is retried",
+	RelayServeFailed:          "this instance passes on no requests of other instances, because their port could not be opened",
 	ResultsAppended:           "results were appended; `position`, `results`, `open`, `term`",
 	ResultsRead:               "a caller read results; `after`, `results`",
 	ResultsReadFailed:         "a caller's request for results failed",
 	RewardAttemptEnded:        "one attempt of an item's reward call ended; `reward` is its request id, `target`, `ending`, `status`, `gave_up` if the item fails, `waited` since the end of the text",
 	SettingsReadFailed:        "the settings file is missing or invalid; the process continues with the previous settings",
 	SettingsReloaded:          "memory, grace period and job lifetime apply at once; `restart` says that other settings changed, which take effect after a restart",
-	LinksLost:                 "no target has been reached directly for `lost_for` ms, after attempts at this many `targets`",
+	LinksLost:                 "no target has been reached directly for `lost_for` ms, after attempts at this many `targets`; requests go through other instances if these reach the targets",
 	LinksRestored:             "a target was reached directly again, `elapsed` after the first failed attempt",
 	Started:                   "the process serves requests",
 	StopRequested:             "the process received SIGTERM",
--- a/internal/forward/attempt_result.go
+++ b/internal/forward/attempt_result.go
@@ -110,6 +110,8 @@
 	case errors.As(err, &sendErr) && sendErr.stage == stageUnsent:
 		// The target closed an idle connection, which does not mean that it failed.
 		return attemptResult{targetResult: target.Cancelled, retryReason: outcome.RetryConnect, refusalReason: outcome.TargetUnreachable}
+	case errors.As(err, &sendErr) && sendErr.behindPeer:
+		return attemptResult{targetResult: target.Cancelled, retryReason: outcome.RetryResponseLost, refusalReason: outcome.ResponseLost}
 	case errors.As(err, &sendErr):
 		return attemptResult{targetResult: target.Broken, retryReason: outcome.RetryResponseLost, refusalReason: outcome.ResponseLost, reusedConn: sendErr.reusedConn}
 	default:
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"io"
@@ -38,6 +39,10 @@
 	cause error
 	// reusedConn reports whether the connection had served another request, so the target may have been closing it.
 	reusedConn bool
+	// answered reports that the target sent something, but not a response to the request.
+	answered bool
+	// behindPeer reports that the link to another instance failed, which says nothing about the target.
+	behindPeer bool
 }
 
 func (e *sendError) Error() string { return e.cause.Error() }
@@ -57,6 +62,8 @@
 	observeResponse func(request *http.Request, response *http.Response, sentAt time.Time)
 	// reach learns which targets are reached; it may be nil.
 	reach *reach.Table
+	// observeRelay counts requests that pass through another instance; it may be nil.
+	observeRelay func(direction, result string)
 	// pools maps the URL of each target to its *targetPool.
 	pools sync.Map
 }
@@ -73,7 +80,7 @@
 	if tlsConfig == nil {
 		tlsConfig = &tls.Config{MinVersion: tls.VersionTLS12}
 	}
-	c := &client{limits: options.Limits, requestIDHeader: options.Dialect.RequestIDHeader, observeResponse: options.Dialect.ObserveResponse, reach: options.Reach}
+	c := &client{limits: options.Limits, requestIDHeader: options.Dialect.RequestIDHeader, observeResponse: options.Dialect.ObserveResponse, reach: options.Reach, observeRelay: options.ObserveRelay}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	c.transport = &http.Transport{
@@ -136,7 +143,7 @@
 	if base.Host == "" {
 		return nil, errors.Errorf("target URL %q has no host", raw)
 	}
-	created := &targetPool{baseURL: base, maxIdleConns: c.limits.MaxIdlePerTarget, maxIdle: c.limits.IdleTimeout}
+	created := &targetPool{url: raw, baseURL: base, maxIdleConns: c.limits.MaxIdlePerTarget, maxIdle: c.limits.IdleTimeout}
 	existing, _ := c.pools.LoadOrStore(raw, created)
 	return existing.(*targetPool), nil
 }
@@ -150,48 +157,96 @@
 	return &u
 }
 
+// openConn opens a connection to a target. The table of links learns the result.
 func (c *client) openConn(ctx context.Context, pool *targetPool) (*conn, error) {
+	begin := time.Now()
+	opened, err := c.dial(ctx, pool)
+	switch {
+	case err == nil:
+		c.reach.Opened(pool.url, time.Now())
+	case !errors.Is(ctx.Err(), context.Canceled):
+		c.reach.OpenFailed(pool.url, begin, time.Now())
+	}
+	return opened, err
+}
+
+// dial opens a connection to the URL of a pool.
+func (c *client) dial(ctx context.Context, pool *targetPool) (*conn, error) {
 	u := pool.baseURL
-	ctx, cancel := context.WithTimeout(ctx, c.limits.DialTimeout)
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(sendOptionsOf(ctx).dialTimeout, c.limits.DialTimeout))
 	defer cancel()
 	opened := &conn{pool: pool}
 	address := u.Host
 	if u.Port() == "" {
 		address = net.JoinHostPort(u.Hostname(), map[bool]string{true: "443", false: "80"}[u.Scheme == "https"])
 	}
-	begin := time.Now()
 	cc, err := c.transport.NewClientConn(context.WithValue(ctx, connContextKey{}, opened), u.Scheme, address)
 	if err != nil {
-		if !errors.Is(ctx.Err(), context.Canceled) {
-			c.reach.Failed(u.Host, begin, time.Now())
-		}
 		return nil, err
 	}
-	c.reach.Opened(u.Host, time.Now())
 	opened.clientConn = cc
 	return opened, nil
 }
 
-// send writes the request once and returns the response. Closing the response body before its end closes the
-// connection.
+// send writes the request once, to the target or to another instance that passes it on, and returns the response. Closing the
+// response body before its end closes the connection.
 func (c *client) send(request *http.Request, pool *targetPool) (*http.Response, *sendError) {
 	ctx := request.Context()
 	if err := ctx.Err(); err != nil {
 		return nil, &sendError{stage: stageConnect, cause: context.Cause(ctx)}
 	}
-	connection := pool.get()
-	reusedConn := connection != nil
-	if connection == nil {
-		opened, err := c.openConn(ctx, pool)
-		if err != nil {
-			return nil, &sendError{stage: stageConnect, cause: err}
+	way, mayRelay := reach.Way{UseIdle: true}, false
+	if c.reach.HasPeers() && !sendOptionsOf(ctx).directOnly {
+		way, mayRelay = c.reach.Way(pool.url, time.Now()), true
+	}
+	if way.UseIdle {
+		if connection := pool.get(); connection != nil {
+			return c.sendDirect(request, connection, true)
 		}
-		connection = opened
 	}
+	if way.ViaPeer {
+		if response, err, tried := c.relay(request, pool); tried {
+			return response, err
+		}
+	}
+	if mayRelay {
+		connection, response, err := c.openOrRelay(request, pool, way.ViaPeer)
+		if connection == nil {
+			return response, err
+		}
+		return c.sendDirect(request, connection, false)
+	}
+	connection, err := c.openConn(ctx, pool)
+	if err != nil {
+		return nil, &sendError{stage: stageConnect, cause: err}
+	}
+	return c.sendDirect(request, connection, false)
+}
+
+// sendDirect sends a request over a connection to its target.
+func (c *client) sendDirect(request *http.Request, connection *conn, isReused bool) (*http.Response, *sendError) {
+	sentAt := time.Now()
+	response, err := c.exchange(request, connection, isReused)
+	target := connection.pool.url
+	if response == nil {
+		if err.stage == stageSent && !err.answered && (request.Context().Err() == nil || time.Since(sentAt) >= reach.SilentAfter) {
+			c.reach.Silent(target, sentAt, time.Now())
+		}
+		return nil, err
+	}
+	c.reach.Answered(target, time.Now())
+	if c.observeResponse != nil {
+		c.observeResponse(request, response, sentAt)
+	}
+	return response, nil
+}
+
+// exchange sends a request over a connection and returns the response. It is an error if the response belongs to another request
+// or has an unexpected status.
+func (c *client) exchange(request *http.Request, connection *conn, isReused bool) (*http.Response, *sendError) {
 	if u, ok := request.Body.(*upload); ok {
 		connection.setUpload(u)
 	}
-	sentAt := time.Now()
 	response, err := connection.clientConn.RoundTrip(request)
 	if err != nil {
 		stage := stageSent
@@ -199,28 +254,21 @@
 			stage = stageUnsent
 		}
 		connection.closeClientConn()
-		if ctx.Err() == nil || time.Since(sentAt) >= reach.SilentAfter {
-			c.reach.Failed(pool.baseURL.Host, sentAt, time.Now())
-		}
-		if reusedConn && ctx.Err() == nil {
+		if isReused && request.Context().Err() == nil {
 			// The target has probably closed its other idle connections too.
-			pool.closeIdle(0, time.Now())
+			connection.pool.closeIdle(0, time.Now())
 		}
-		return nil, &sendError{stage: stage, cause: err, reusedConn: reusedConn}
+		return nil, &sendError{stage: stage, cause: err, reusedConn: isReused}
 	}
-	c.reach.Answered(pool.baseURL.Host, time.Now())
 	if echoed := response.Header.Get(c.requestIDHeader); echoed != "" && echoed != request.Header.Get(c.requestIDHeader) {
 		connection.closeClientConn()
-		return nil, &sendError{stage: stageSent, cause: errors.New("response belongs to another request")}
-	}
-	if c.observeResponse != nil {
-		c.observeResponse(request, response, sentAt)
+		return nil, &sendError{stage: stageSent, cause: errors.New("response belongs to another request"), answered: true}
 	}
 	connection.readKeepAlive(response.Header)
 	if response.StatusCode < http.StatusOK {
 		// The request did not ask for a protocol switch (101), and statuses below 100 are invalid.
 		connection.closeClientConn()
-		return nil, &sendError{stage: stageSent, cause: errors.Errorf("target responded with unexpected status %d", response.StatusCode)}
+		return nil, &sendError{stage: stageSent, cause: errors.Errorf("target responded with unexpected status %d", response.StatusCode), answered: true}
 	}
 	if response.ContentLength == 0 || request.Method == http.MethodHead {
 		response.Body = http.NoBody
@@ -251,6 +299,8 @@
 	body     io.ReadCloser
 	conn     *conn
 	finished bool
+	// onEnd is called at the end, if set.
+	onEnd func()
 }
 
 func (b *responseBody) Read(p []byte) (int, error) {
@@ -258,19 +308,27 @@
 	if err == nil || b.finished {
 		return n, err
 	}
-	b.finished = true
-	if errors.Is(err, io.EOF) {
-		b.conn.finishResponse()
-	} else {
-		b.conn.closeClientConn()
-	}
+	b.finish(func() {
+		if errors.Is(err, io.EOF) {
+			b.conn.finishResponse()
+		} else {
+			b.conn.closeClientConn()
+		}
+	})
 	return n, err
 }
 
 func (b *responseBody) Close() error {
 	if !b.finished {
-		b.finished = true
-		b.conn.closeClientConn()
+		b.finish(b.conn.closeClientConn)
 	}
 	return nil
 }
+
+func (b *responseBody) finish(release func()) {
+	b.finished = true
+	release()
+	if b.onEnd != nil {
+		b.onEnd()
+	}
+}
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -289,6 +289,7 @@
 
 // targetPool holds the idle connections to one target, the most recently used last.
 type targetPool struct {
+	url          string
 	baseURL      *url.URL
 	maxIdleConns int
 	// maxIdle is the longest time that a reusable connection may have been idle.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -140,8 +140,10 @@
 	Limits           Limits
 	// Dialect is egretspar's own if it is zero.
 	Dialect Dialect
-	// Reach learns which targets are reached. It may be nil.
+	// Reach learns which targets are reached and knows the instances that pass requests on to the others. It may be nil.
 	Reach *reach.Table
+	// ObserveRelay counts requests that pass through another instance ("out") or come from one ("in"), by result. It may be nil.
+	ObserveRelay func(direction, result string)
 	// TLS is used for targets with https URLs; nil means the root certificates of the system.
 	TLS *tls.Config
 	// DialContext replaces the network in tests.
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -367,7 +367,8 @@
 		ProtoMinor: 1,
 	}
 	if x.body != nil {
-		request.Body = io.NopCloser(bytes.NewReader(x.body))
+		request.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(x.body)), nil }
+		request.Body, _ = request.GetBody()
 		request.ContentLength = int64(len(x.body))
 	}
 	if x.upload != nil {
--- /dev/null
+++ b/internal/forward/relay.go
@@ -0,0 +1,414 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/egretspar/egretspar/internal/outcome"
+	"github.com/egretspar/egretspar/internal/reach"
+	"github.com/egretspar/egretspar/internal/target"
+)
+
+// A request that passes through another instance is sent to that instance unchanged but for relayTargetHeader, which names the
+// URL of the target. The other instance sends it to the target directly, so that it passes through one instance at most.
+const (
+	relayTargetHeader = "Egretspar-Relay-Target"
+	// relayCheckHeader asks only whether the target is reached.
+	relayCheckHeader = "Egretspar-Relay-Check"
+	// relayErrorHeader marks a response that is not the target's. Its value is a relayError.
+	relayErrorHeader = "Egretspar-Relay-Error"
+)
+
+// relayError says why another instance has no response of the target.
+type relayError string
+
+const (
+	// relayCut means that the other instance reaches no targets itself, relayBusy that it has no room, relayUnknown that it does
+	// not know the target (yet). Another instance may reach it.
+	relayCut     relayError = "cut"
+	relayBusy    relayError = "busy"
+	relayUnknown relayError = "unknown_target"
+	// relayUnreachable means that no connection to the target could be opened, relayUnsent that nothing was written to one.
+	relayUnreachable relayError = "unreachable"
+	relayUnsent      relayError = "unsent"
+	// relayLost means that the target may have run the request.
+	relayLost relayError = "lost"
+)
+
+const (
+	// relayAfter is how long a connection to a target may take to open before the request goes through another instance.
+	// Connections within a region open within a few milliseconds.
+	relayAfter = 100 * time.Millisecond
+	// relayDialTimeout limits the opening of a connection to another instance, and of one from there to the target.
+	relayDialTimeout = 100 * time.Millisecond
+	// maxRelayed limits the requests of other instances that this one passes on at once.
+	maxRelayed = 256
+	// recentContact is the age of a contact with a target that answers another instance's question without a new connection.
+	recentContact = time.Second
+)
+
+var (
+	errNotReached = errors.New("another instance does not reach the target")
+	errRelayLost  = errors.New("response lost behind another instance")
+)
+
+// sendOptionsKey is the context key of sendOptions.
+type sendOptionsKey struct{}
+
+// sendOptions change how a request is sent.
+type sendOptions struct {
+	// directOnly keeps a request from passing through another instance.
+	directOnly  bool
+	dialTimeout time.Duration
+}
+
+func sendOptionsOf(ctx context.Context) sendOptions {
+	options, _ := ctx.Value(sendOptionsKey{}).(sendOptions)
+	return options
+}
+
+// DirectOnly returns a context whose requests never pass through another instance.
+func DirectOnly(ctx context.Context) context.Context {
+	return context.WithValue(ctx, sendOptionsKey{}, sendOptions{directOnly: true})
+}
+
+// opening is a connection that is being opened.
+type opening struct {
+	done chan struct{}
+	conn *conn
+	err  error
+}
+
+// startOpening opens a connection to a target in the background.
+func (c *client) startOpening(ctx context.Context, pool *targetPool) *opening {
+	o := &opening{done: make(chan struct{})}
+	go func() {
+		defer close(o.done)
+		o.conn, o.err = c.openConn(context.WithoutCancel(ctx), pool)
+	}()
+	return o
+}
+
+// keep puts a connection that is not needed any more into the pool once it is open.
+func (o *opening) keep() {
+	go func() {
+		<-o.done
+		if o.err == nil {
+			o.conn.finishResponse()
+		}
+	}()
+}
+
+// openOrRelay opens a connection to the target. If that fails or takes longer than relayAfter, the request goes through another
+// instance, in which case the connection is nil and the response or the error is the result. Without another instance it waits
+// for the connection.
+func (c *client) openOrRelay(request *http.Request, pool *targetPool, triedPeers bool) (*conn, *http.Response, *sendError) {
+	ctx := request.Context()
+	o := c.startOpening(ctx, pool)
+	timer := time.NewTimer(relayAfter)
+	defer timer.Stop()
+	select {
+	case <-o.done:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	isOpen := func() bool {
+		select {
+		case <-o.done:
+			return o.err == nil
+		default:
+			return false
+		}
+	}
+	if !isOpen() && ctx.Err() == nil && !triedPeers {
+		if response, err, tried := c.relay(request, pool); tried {
+			o.keep()
+			return nil, response, err
+		}
+	}
+	select {
+	case <-o.done:
+		if o.err != nil {
+			return nil, nil, &sendError{stage: stageConnect, cause: o.err}
+		}
+		return o.conn, nil, nil
+	case <-ctx.Done():
+		o.keep()
+		return nil, nil, &sendError{stage: stageConnect, cause: context.Cause(ctx)}
+	}
+}
+
+// relay sends a request through another instance. The last result is false if no other instance took the request, so that it may
+// still be sent directly.
+func (c *client) relay(request *http.Request, pool *targetPool) (*http.Response, *sendError, bool) {
+	var deniedBy []reach.Peer
+	for _, peer := range c.reach.Peers(pool.url, time.Now()) {
+		relayed, ok := relayedRequest(request, pool.url, peer.URL)
+		if !ok || request.Context().Err() != nil {
+			break
+		}
+		response, failure, err := c.sendToPeer(relayed, peer)
+		c.countRelay(failure, err)
+		switch {
+		case err != nil && !err.mayHaveRun(), failure == relayCut:
+			c.reach.PeerUnusable(peer.Name, time.Now())
+		case err != nil:
+			return nil, err, true
+		case failure == relayBusy:
+			c.reach.PeerBusy(peer.Name, time.Now())
+		case failure == relayUnknown:
+			// A target that was added or removed just now.
+		case failure == relayUnreachable:
+			deniedBy = append(deniedBy, peer)
+		case failure == relayUnsent:
+			return nil, &sendError{stage: stageUnsent, cause: errNotReached}, true
+		case failure != "":
+			return nil, &sendError{stage: stageSent, cause: errRelayLost}, true
+		default:
+			now := time.Now()
+			c.reach.Relayed(pool.url, now)
+			for _, other := range deniedBy {
+				c.reach.PeerUnusable(other.Name, now)
+			}
+			return response, nil, true
+		}
+	}
+	if len(deniedBy) > 0 {
+		return nil, &sendError{stage: stageConnect, cause: errNotReached}, true
+	}
+	return nil, nil, false
+}
+
+// countRelay counts a request that was handed to another instance.
+func (c *client) countRelay(failure relayError, err *sendError) {
+	if c.observeRelay == nil {
+		return
+	}
+	result := string(failure)
+	switch {
+	case err != nil && err.mayHaveRun():
+		result = "instance_lost"
+	case err != nil:
+		result = "instance_unreachable"
+	case result == "":
+		result = "passed_on"
+	}
+	c.observeRelay("out", result)
+}
+
+// relayedRequest returns the request to another instance. It returns false if the body cannot be sent again.
+func relayedRequest(request *http.Request, targetURL, peerURL string) (*http.Request, bool) {
+	base, err := url.Parse(peerURL)
+	if err != nil {
+		return nil, false
+	}
+	relayed := *request
+	u := *request.URL
+	u.Scheme, u.Host = base.Scheme, base.Host
+	relayed.URL = &u
+	if relayed.Host == "" {
+		relayed.Host = request.URL.Host
+	}
+	relayed.Header = request.Header.Clone()
+	relayed.Header.Set(relayTargetHeader, targetURL)
+	if request.Body == nil || request.Body == http.NoBody {
+		return &relayed, true
+	}
+	if request.GetBody != nil {
+		relayed.Body, err = request.GetBody()
+		return &relayed, err == nil
+	}
+	u2, ok := request.Body.(*upload)
+	return &relayed, ok && !u2.readStarted.Load()
+}
+
+// sendToPeer sends a request to another instance, and returns the target's response or why there is none.
+func (c *client) sendToPeer(request *http.Request, peer reach.Peer) (*http.Response, relayError, *sendError) {
+	pool, err := c.pool(peer.URL)
+	if err != nil {
+		return nil, "", &sendError{stage: stageConnect, cause: err}
+	}
+	connection, isReused := pool.get(), true
+	if connection == nil {
+		ctx := context.WithValue(request.Context(), sendOptionsKey{}, sendOptions{dialTimeout: relayDialTimeout})
+		if connection, err = c.dial(ctx, pool); err != nil {
+			return nil, "", &sendError{stage: stageConnect, cause: err}
+		}
+		isReused = false
+	}
+	c.reach.Begin(peer.Name)
+	sentAt := time.Now()
+	response, sendErr := c.exchange(request, connection, isReused)
+	if sendErr != nil {
+		c.reach.End(peer.Name)
+		sendErr.behindPeer = true
+		return nil, "", sendErr
+	}
+	c.reach.PeerResponded(peer.Name)
+	if failure := relayError(response.Header.Get(relayErrorHeader)); failure != "" {
+		_ = response.Body.Close()
+		c.reach.End(peer.Name)
+		return nil, failure, nil
+	}
+	if body, ok := response.Body.(*responseBody); ok {
+		body.onEnd = func() { c.reach.End(peer.Name) }
+	} else {
+		c.reach.End(peer.Name)
+	}
+	if c.observeResponse != nil {
+		c.observeResponse(request, response, sentAt)
+	}
+	return response, "", nil
+}
+
+// Probe opens a direct connection to a target, which stays open for later requests. The table learns the result.
+func (f *Forwarder) Probe(ctx context.Context, targetURL string) {
+	pool, err := f.client.pool(targetURL)
+	if err != nil {
+		return
+	}
+	if connection, err := f.client.openConn(ctx, pool); err == nil {
+		connection.finishResponse()
+	}
+}
+
+// AskPeers asks other instances whether they reach a target, until one does. The table learns the result.
+func (f *Forwarder) AskPeers(ctx context.Context, targetURL string) {
+	for _, peer := range f.client.reach.Peers(targetURL, time.Now()) {
+		check, err := http.NewRequestWithContext(ctx, http.MethodGet, peer.URL+"/", nil)
+		if err != nil {
+			return
+		}
+		check.Header.Set("User-Agent", "")
+		check.Header.Set(relayCheckHeader, "1")
+		check.Header.Set(relayTargetHeader, targetURL)
+		response, failure, sendErr := f.client.sendToPeer(check, peer)
+		switch {
+		case sendErr != nil, failure == relayCut:
+			f.client.reach.PeerUnusable(peer.Name, time.Now())
+		case failure == "":
+			_ = response.Body.Close()
+			f.client.reach.Relayed(targetURL, time.Now())
+			return
+		}
+	}
+}
+
+// RelayOptions configure the handler of requests from other instances.
+type RelayOptions struct {
+	// IsTarget reports whether a URL is that of a target. Requests for other URLs are refused.
+	IsTarget func(url string) bool
+}
+
+// RelayHandler returns a handler that passes requests of other instances on to targets.
+func (f *Forwarder) RelayHandler(options RelayOptions) http.Handler {
+	slots := make(chan struct{}, maxRelayed)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		targetURL := r.Header.Get(relayTargetHeader)
+		failure := relayError("")
+		select {
+		case slots <- struct{}{}:
+			defer func() { <-slots }()
+		default:
+			failure = relayBusy
+		}
+		switch {
+		case failure != "":
+		case !options.IsTarget(targetURL):
+			failure = relayUnknown
+		case f.client.reach.IsCut(targetURL):
+			failure = relayCut
+		case r.Header.Get(relayCheckHeader) != "":
+			failure = f.check(r.Context(), targetURL)
+			if failure == "" {
+				w.WriteHeader(http.StatusNoContent)
+				return
+			}
+		}
+		if failure != "" {
+			f.client.refuseRelay(w, failure)
+			return
+		}
+		f.passOn(w, r, targetURL)
+	})
+}
+
+// check reports whether this instance reaches a target.
+func (f *Forwarder) check(ctx context.Context, targetURL string) relayError {
+	if f.client.reach.ContactWithin(targetURL, recentContact, time.Now()) {
+		return ""
+	}
+	f.Probe(context.WithValue(ctx, sendOptionsKey{}, sendOptions{dialTimeout: relayDialTimeout}), targetURL)
+	if !f.client.reach.ContactWithin(targetURL, recentContact, time.Now()) {
+		return relayUnreachable
+	}
+	return ""
+}
+
+// refuseRelay tells another instance that there is no response of the target.
+func (c *client) refuseRelay(w http.ResponseWriter, failure relayError) {
+	if c.observeRelay != nil {
+		c.observeRelay("in", string(failure))
+	}
+	w.Header().Set(relayErrorHeader, string(failure))
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(http.StatusBadGateway)
+}
+
+// passOn sends another instance's request to a target and the response back.
+func (f *Forwarder) passOn(w http.ResponseWriter, r *http.Request, targetURL string) {
+	base, err := url.Parse(targetURL)
+	if err != nil {
+		f.client.refuseRelay(w, relayUnknown)
+		return
+	}
+	options := f.Plain.options
+	options.Picker = pinned{target.Target{URL: targetURL}}
+	options.Quarantine = nil
+	options.Counter = uncounted{}
+	options.StripCredentials = func(http.Header) {}
+	options.Dialect = Dialect{
+		RequestIDHeader: options.Dialect.RequestIDHeader, KeepHost: true, OmitOutcome: true,
+		Refuse: func(w http.ResponseWriter, _ string, refusal *outcome.Refusal) {
+			switch {
+			case refusal.Outcome != outcome.NotRun:
+				f.client.refuseRelay(w, relayLost)
+			case refusal.Reason == outcome.TargetUnreachable:
+				f.client.refuseRelay(w, relayUnreachable)
+			default:
+				f.client.refuseRelay(w, relayUnsent)
+			}
+		},
+	}
+	plain := &Plain{options: options, client: f.client}
+	ctx := context.WithValue(r.Context(), sendOptionsKey{}, sendOptions{directOnly: true, dialTimeout: relayDialTimeout})
+	plain.ServePlain(w, r.WithContext(ctx), Call{
+		RequestID: r.Header.Get(options.Dialect.RequestIDHeader), Path: strings.TrimPrefix(r.URL.EscapedPath(), base.EscapedPath()), Attempts: 1,
+		Report: func(report Report) {
+			if report.Outcome == outcome.Ran && f.client.observeRelay != nil {
+				f.client.observeRelay("in", "passed_on")
+			}
+		},
+	})
+}
+
+// pinned is a Picker that knows one target. The instance that sent the request has reserved its slot.
+type pinned struct{ chosen target.Target }
+
+func (p pinned) Pick(target.Request, time.Time) (target.Reservation, *outcome.Refusal) { return p, nil }
+
+func (p pinned) Target() target.Target { return p.chosen }
+
+func (p pinned) Done(target.Result, time.Duration) {}
+
+// uncounted counts nothing: the instance that sent the request counts it.
+type uncounted struct{}
+
+func (uncounted) CountRefusal(outcome.Reason) {}
+
+func (uncounted) CountRetry(outcome.RetryReason) {}
--- /dev/null
+++ b/internal/forward/relay_test.go
@@ -0,0 +1,169 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/egretspar/egretspar/internal/reach"
+)
+
+// relayPair is a forwarder whose connections to targets fail while isCut is set, and the requests of another one that takes them.
+type relayPair struct {
+	cut    *Forwarder
+	target *httptest.Server
+	isCut  atomic.Bool
+	// passed counts requests that reached the other instance.
+	passed atomic.Int64
+}
+
+func newRelayPair(t *testing.T, handler http.HandlerFunc) *relayPair {
+	p := &relayPair{target: httptest.NewServer(handler)}
+	t.Cleanup(p.target.Close)
+	other := New(Options{Limits: DefaultLimits(), Reach: reach.NewTable("b")})
+	pass := other.RelayHandler(RelayOptions{IsTarget: func(url string) bool { return url == p.target.URL }})
+	relay := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p.passed.Add(1)
+		pass.ServeHTTP(w, r)
+	}))
+	t.Cleanup(relay.Close)
+	table := reach.NewTable("a")
+	table.SetPeer(reach.Peer{Name: "other", URL: relay.URL, Zone: "b"})
+	p.cut = New(Options{Limits: DefaultLimits(), Reach: table, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		if p.isCut.Load() && address == strings.TrimPrefix(p.target.URL, "http://") {
+			return nil, syscall.ECONNREFUSED
+		}
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	}})
+	t.Cleanup(func() { other.client.closeIdle(0); p.cut.client.closeIdle(0) })
+	return p
+}
+
+func (p *relayPair) request(ctx context.Context, method string, body []byte) *http.Request {
+	r, err := http.NewRequestWithContext(ctx, method, p.target.URL+"/path/x?q=1", bytes.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	r.Host = "service.example"
+	r.Header.Set(defaultRequestIDHeader, "id-1")
+	r.Header.Set("User-Agent", "")
+	return r
+}
+
+// Guards against a request or a response that another instance changes on its way.
+func TestRelayedRequestIsUnchanged(t *testing.T) {
+	var got []string
+	p := newRelayPair(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		got = append(got, fmt.Sprint(r.Method, r.Host, r.URL, r.ContentLength, string(body), r.Header))
+		w.Header().Set("Stamp", "s")
+		w.WriteHeader(http.StatusTeapot)
+		_, _ = io.WriteString(w, "answer")
+	})
+	for _, isCut := range []bool{false, true} {
+		p.isCut.Store(isCut)
+		p.cut.client.closeIdle(0)
+		response, err := p.cut.Send(p.request(t.Context(), "PUT", []byte("body")), p.target.URL)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(response.Body)
+		if err != nil || string(body) != "answer" || response.StatusCode != http.StatusTeapot || response.Header.Get("Stamp") != "s" {
+			t.Errorf("cut %v: %v %v %q", isCut, err, response, body)
+		}
+	}
+	if p.passed.Load() != 1 || len(got) != 2 || got[0] != got[1] {
+		t.Errorf("%d requests through the other instance; the target got\n%s", p.passed.Load(), strings.Join(got, "\n"))
+	}
+}
+
+// Guards against events that arrive late through another instance, and against a target that works on after the caller has left.
+func TestRelayedStreamEndsWithItsCaller(t *testing.T) {
+	ended := make(chan struct{})
+	p := newRelayPair(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "data: 1\n\n")
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+		close(ended)
+	})
+	p.isCut.Store(true)
+	response, err := p.cut.Send(p.request(t.Context(), "GET", nil), p.target.URL)
+	if err != nil {
+		t.Fatal(err)
+	}
+	line := make([]byte, 9)
+	if _, err := io.ReadFull(response.Body, line); err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	select {
+	case <-ended:
+	case <-time.After(30 * time.Second):
+		t.Error("the target works on")
+	}
+}
+
+// Guards against a request that counts as not run although it may have, or as run although it was never sent, and against one
+// that passes through two instances.
+func TestRelayedFailures(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		target http.HandlerFunc
+		before func(*relayPair)
+		unsent bool
+	}{
+		{"the target breaks off", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, func(*relayPair) {}, false},
+		{"the target is gone", nil, func(p *relayPair) { p.target.Close() }, true},
+	} {
+		p := newRelayPair(t, tc.target)
+		p.isCut.Store(true)
+		tc.before(p)
+		_, err := p.cut.Send(p.request(t.Context(), "POST", []byte("x")), p.target.URL)
+		if unsent, _ := NothingSent(err); err == nil || unsent != tc.unsent || p.passed.Load() != 1 {
+			t.Errorf("%s: %v, unsent %v, %d requests through the other instance", tc.name, err, unsent, p.passed.Load())
+		}
+	}
+	t.Run("both are cut", func(t *testing.T) {
+		p := newRelayPair(t, func(http.ResponseWriter, *http.Request) {})
+		p.isCut.Store(true)
+		// The other instance knows one more, to which it must not pass the request on.
+		handler := p.cut.RelayHandler(RelayOptions{IsTarget: func(string) bool { return true }})
+		r := httptest.NewRequest("GET", "/", nil)
+		r.Header.Set(relayTargetHeader, p.target.URL)
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, r)
+		if w.Header().Get(relayErrorHeader) != string(relayUnreachable) || p.passed.Load() != 0 {
+			t.Errorf("%v, %d requests passed on again", w.Header(), p.passed.Load())
+		}
+	})
+	t.Run("not a target", func(t *testing.T) {
+		p := newRelayPair(t, func(http.ResponseWriter, *http.Request) { t.Error("request to an address that is no target") })
+		handler := p.cut.RelayHandler(RelayOptions{IsTarget: func(string) bool { return false }})
+		r := httptest.NewRequest("GET", "/", nil)
+		r.Header.Set(relayTargetHeader, p.target.URL)
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, r)
+		if w.Header().Get(relayErrorHeader) != string(relayUnknown) {
+			t.Errorf("%v", w.Header())
+		}
+	})
+}
+
+// Guards against calls that must come from this instance and go through another one.
+func TestDirectOnly(t *testing.T) {
+	p := newRelayPair(t, func(http.ResponseWriter, *http.Request) {})
+	p.isCut.Store(true)
+	_, err := p.cut.Send(p.request(DirectOnly(t.Context()), "POST", nil), p.target.URL)
+	if unsent, _ := NothingSent(err); err == nil || !unsent || p.passed.Load() != 0 {
+		t.Errorf("%v, %d requests passed on", err, p.passed.Load())
+	}
+}
--- a/internal/reach/table.go
+++ b/internal/reach/table.go
@@ -1,8 +1,10 @@
-// Package reach keeps what this instance's attempts show about its links to targets. Table does no I/O and has no clock; Worker
-// logs what changes.
+// Package reach decides whether a target is reached directly or through another instance. Table does no I/O and has no clock: it
+// learns from this instance's own attempts and from what other instances reach. Worker exchanges rows with the other instances
+// and tries lost links again.
 package reach
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -15,15 +17,25 @@
 	minLostTargets = 2
 	// linkTTL is how long a target that is not used is remembered.
 	linkTTL = 10 * time.Minute
+	// probeInterval is the time between two attempts to open a connection to a target whose link is cut.
+	probeInterval = 500 * time.Millisecond
+	// askInterval is the time between two questions to other instances whether they reach a target.
+	askInterval = 2 * time.Second
 )
 
 // link is what is known about the direct way to one target. Times are zero for what has not happened.
 type link struct {
-	// opened is when a connection was last opened, answered when a response last arrived.
+	// opened is when a connection was last opened, answered when a response last arrived directly.
 	opened, answered time.Time
 	// failedSince is when the first attempt began that failed without contact after the last contact.
 	failedSince time.Time
-	usedAt      time.Time
+	// openFailedSince is when the first attempt to open a connection began that failed after the last one that succeeded.
+	openFailedSince time.Time
+	// relayedAt is when another instance last reached the target.
+	relayedAt time.Time
+	// triedAt is when the worker last tried the link or asked about it.
+	triedAt time.Time
+	usedAt  time.Time
 }
 
 func (l *link) lastContact() time.Time {
@@ -33,16 +45,41 @@
 	return l.opened
 }
 
-// Table holds the links to all targets, by URL. It is safe for concurrent use. A nil Table knows nothing.
+// isCut reports whether another instance reached the target since connections from here began to fail. So it is the link that
+// failed and not the target.
+func (l *link) isCut() bool {
+	return !l.openFailedSince.IsZero() && !l.relayedAt.Before(l.openFailedSince)
+}
+
+// Way is how a request should reach a target.
+type Way struct {
+	// UseIdle allows an open connection that is idle.
+	UseIdle bool
+	// ViaPeer means that a new connection would probably fail, so that another instance goes first.
+	ViaPeer bool
+}
+
+// Table holds the links to all targets, by URL, and the other instances. It is safe for concurrent use. A nil Table knows
+// nothing.
 type Table struct {
+	zone string
+
 	mu    sync.Mutex
 	links map[string]*link
-	// lastContact is the last contact with any target.
-	lastContact time.Time
+	// lastContact is the last contact with any target, lastOpened the last connection that was opened to any.
+	lastContact, lastOpened time.Time
+	// silentSince is when the oldest request was sent that got no response, if there was no contact with any target since.
+	silentSince time.Time
+	// cutSince is when connections began to fail, if a link has been found cut and none could be opened since; cutEndedAt is when
+	// one could be opened again.
+	cutSince, cutEndedAt time.Time
+	peers                map[string]*peer
 }
 
-// NewTable returns a table without links.
-func NewTable() *Table { return &Table{links: map[string]*link{}} }
+// NewTable returns a table without links for an instance in a zone.
+func NewTable(zone string) *Table {
+	return &Table{zone: zone, links: map[string]*link{}, peers: map[string]*peer{}}
+}
 
 // get returns the link to a target. The caller holds the lock.
 func (t *Table) get(target string, now time.Time) *link {
@@ -63,10 +100,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	l := t.get(target, now)
-	l.opened, l.failedSince, t.lastContact = now, time.Time{}, now
+	l.opened, l.failedSince, l.openFailedSince = now, time.Time{}, time.Time{}
+	t.lastContact, t.lastOpened, t.silentSince = now, now, time.Time{}
+	if !t.cutSince.IsZero() {
+		t.cutSince, t.cutEndedAt = time.Time{}, now
+	}
 }
 
-// Answered records a response of a target, also a refusal.
+// Answered records a response of a target over a direct connection, also a refusal.
 func (t *Table) Answered(target string, now time.Time) {
 	if t == nil {
 		return
@@ -74,34 +115,151 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	l := t.get(target, now)
-	l.answered, l.failedSince, t.lastContact = now, time.Time{}, now
+	l.answered, l.failedSince = now, time.Time{}
+	t.lastContact, t.silentSince = now, time.Time{}
 }
 
-// Failed records an attempt that began at startedAt and ended without any contact.
-func (t *Table) Failed(target string, startedAt, now time.Time) {
+// OpenFailed records an attempt to open a connection that began at startedAt and failed.
+func (t *Table) OpenFailed(target string, startedAt, now time.Time) {
 	if t == nil {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	l := t.get(target, now)
+	if l.openFailedSince.IsZero() && !l.opened.After(startedAt) {
+		l.openFailedSince = startedAt
+	}
+	l.fail(startedAt)
+	t.updateCut(l)
+}
+
+// Silent records a request that was sent over an open connection at sentAt and got no response.
+func (t *Table) Silent(target string, sentAt, now time.Time) {
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.get(target, now).fail(sentAt)
+	if t.silentSince.IsZero() && !t.lastContact.After(sentAt) {
+		t.silentSince = sentAt
+	}
+}
+
+func (l *link) fail(startedAt time.Time) {
 	if l.failedSince.IsZero() && !l.lastContact().After(startedAt) {
 		l.failedSince = startedAt
 	}
 }
 
-// LostSince returns since when no target is reached, and how many have failed since; zero while some are reached or too few
-// were tried.
-func (t *Table) LostSince(now time.Time) (time.Time, int) {
+// Relayed records that another instance reached a target.
+func (t *Table) Relayed(target string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var since time.Time
-	failed := 0
+	l := t.get(target, now)
+	l.relayedAt = now
+	t.updateCut(l)
+}
+
+// updateCut sets cutSince if a link is cut and no connection was opened since. The caller holds the lock.
+func (t *Table) updateCut(l *link) {
+	if l.isCut() && !t.lastOpened.After(l.openFailedSince) && (t.cutSince.IsZero() || l.openFailedSince.Before(t.cutSince)) {
+		t.cutSince = l.openFailedSince
+	}
+}
+
+// Way returns how a request should reach a target.
+func (t *Table) Way(target string, now time.Time) Way {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l := t.get(target, now)
+	switch {
+	case l.isCut():
+		// Open connections may live on while new ones fail.
+		return Way{UseIdle: l.answered.After(l.openFailedSince), ViaPeer: true}
+	case !t.cutSince.IsZero():
+		return Way{UseIdle: l.answered.After(t.cutSince), ViaPeer: true}
+	}
+	return Way{UseIdle: t.silentSince.IsZero()}
+}
+
+// IsCut reports whether this instance's link to a target is cut.
+func (t *Table) IsCut(target string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l, ok := t.links[target]
+	return ok && l.isCut()
+}
+
+// ContactWithin reports whether a target was reached directly within a duration.
+func (t *Table) ContactWithin(target string, d time.Duration, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l, ok := t.links[target]
+	return ok && now.Sub(l.lastContact()) < d
+}
+
+// CutSince returns since when this instance opens no connections to targets that others reach; zero if it does.
+func (t *Table) CutSince() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.cutSince
+}
+
+// CutWithin reports whether this instance is cut, or was within a duration.
+func (t *Table) CutWithin(d time.Duration, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.cutSince.IsZero() || !t.cutEndedAt.IsZero() && now.Sub(t.cutEndedAt) < d
+}
+
+// TakeCut returns up to limit targets whose links are cut and should be tried again now, those first that were tried longest ago.
+func (t *Table) TakeCut(limit int, now time.Time) []string {
+	return t.take(limit, probeInterval, now, (*link).isCut)
+}
+
+// TakeUnexplained returns up to limit targets to which connections failed, so that it is not known yet whether the link is cut.
+func (t *Table) TakeUnexplained(limit int, now time.Time) []string {
+	return t.take(limit, askInterval, now, func(l *link) bool { return !l.openFailedSince.IsZero() && !l.isCut() })
+}
+
+func (t *Table) take(limit int, interval time.Duration, now time.Time, matches func(*link) bool) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var due []string
 	for target, l := range t.links {
 		if now.Sub(l.usedAt) > linkTTL {
 			delete(t.links, target)
 			continue
 		}
+		if matches(l) && now.Sub(l.triedAt) >= interval {
+			due = append(due, target)
+		}
+	}
+	slices.SortFunc(due, func(a, b string) int { return t.links[a].triedAt.Compare(t.links[b].triedAt) })
+	due = due[:min(limit, len(due))]
+	for _, target := range due {
+		t.links[target].triedAt = now
+	}
+	return due
+}
+
+// Forget removes what is known about a target that is no longer listed: its address may belong to another one soon.
+func (t *Table) Forget(target string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.links, target)
+}
+
+// LostSince returns since when no target is reached directly, and how many have failed since; zero while some are reached or too
+// few were tried.
+func (t *Table) LostSince() (time.Time, int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var since time.Time
+	failed := 0
+	for _, l := range t.links {
 		if l.failedSince.IsZero() || t.lastContact.After(l.failedSince) {
 			continue
 		}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -27,6 +27,7 @@
 	callTime  metric.Float64Histogram
 	// rewardAttempts and rewardTime describe reward calls.
 	rewardAttempts metric.Int64Counter
+	relayed        metric.Int64Counter
 	rewardTime     metric.Float64Histogram
 	// The attribute sets are built once, because building one for each request would allocate.
 	refusalOptions map[outcome.Reason]metric.AddOption
@@ -50,7 +51,7 @@
 }
 
 func (m *Metrics) createInstruments() error {
-	var errs [7]error
+	var errs [8]error
 	m.refusals, errs[0] = m.meter.Int64Counter("egretspar.refusals", metric.WithDescription("Refused requests by reason."))
 	m.retries, errs[1] = m.meter.Int64Counter("egretspar.retries", metric.WithDescription("Repeated attempts by reason."))
 	m.requests, errs[2] = m.meter.Int64Counter("egretspar.requests", metric.WithDescription("Finished requests by service, team and outcome."))
@@ -64,6 +65,8 @@
 	m.rewardTime, errs[6] = m.meter.Float64Histogram("egretspar.reward.wait", metric.WithUnit("s"),
 		metric.WithDescription("Time from the end of an item's text to its score."),
 		metric.WithExplicitBucketBoundaries(0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 4, 8))
+	m.relayed, errs[7] = m.meter.Int64Counter("egretspar.relayed",
+		metric.WithDescription("Requests to targets that went through another instance (out) or came from one (in), by result."))
 	for _, err := range errs {
 		if err != nil {
 			return errors.WithStack(err)
@@ -100,6 +103,11 @@
 	m.retries.Add(context.Background(), 1, m.retryOptions[reason])
 }
 
+// CountRelay counts a request that went through another instance (direction "out") or came from one ("in").
+func (m *Metrics) CountRelay(direction, result string) {
+	m.relayed.Add(context.Background(), 1, metric.WithAttributes(attribute.String("direction", direction), attribute.String("result", result)))
+}
+
 // RequestLabels are the labels of the request counter.
 type RequestLabels struct {
 	Service string
