lease: a holder that is cut from the targets gives the lease up

What callers saw: nothing by itself; but new weights wait for the lease holder, which orders them at the targets directly, and a holder that was cut kept the lease for the whole cut.

Change: a candidate can abstain. It releases only when no send is running. A request that is given up resets its connection, so that an old order doesn't arrive when the cut heals.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -182,9 +182,13 @@
 	return n, err
 }
 
-// Close closes the connection and aborts its upload.
+// Close closes the connection and aborts its upload. A request without its whole response is given up: what is still under way
+// must not reach the target later.
 func (c *conn) Close() error {
 	c.mu.Lock()
+	if socket, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok && c.requestWritten && !c.responseRead {
+		_ = socket.SetLinger(0)
+	}
 	abortUpload := c.abortUpload
 	c.abortUpload = nil
 	c.markUnusableLocked()
--- a/internal/forward/network_test.go
+++ b/internal/forward/network_test.go
@@ -5,7 +5,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -280,3 +282,34 @@
 		})
 	}
 }
+
+// Guards against an order that reaches its target long after it was given up, when the network delivers what was still under way.
+func TestAbandonedRequestIsReset(t *testing.T) {
+	reset := make(chan error, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		hijacked, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			reset <- err
+			return
+		}
+		defer hijacked.Close()
+		for err == nil {
+			_, err = hijacked.Read(make([]byte, 1))
+		}
+		reset <- err
+	}))
+	defer server.Close()
+	f := New(Options{Limits: DefaultLimits()})
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.Send(request, server.URL); err == nil {
+		t.Fatal("response from a target that sends none")
+	}
+	if err := <-reset; !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the target sees %v, want a reset", err)
+	}
+}
--- a/internal/lease/candidate.go
+++ b/internal/lease/candidate.go
@@ -83,6 +83,8 @@
 	term      int64
 	expiresAt time.Time // lease duration after lastSent.sentAt of the last confirmed renewal
 	stopped   bool      // the candidate gives the lease up and does not take it again
+	// abstaining means that the candidate gives the lease up and does not take it until further notice.
+	abstaining bool
 }
 
 func newCandidateState(holder string, run int64, timing Timing) *candidateState {
@@ -130,7 +132,7 @@
 
 // heldTerm returns the term, and whether the candidate holds the lease at now for long enough to start a send.
 func (c *candidateState) heldTerm(now time.Time) (int64, bool) {
-	if !c.held || c.stopped || !now.Before(c.expiresAt.Add(-c.timing.stopMargin())) {
+	if !c.held || c.stopped || c.abstaining || !now.Before(c.expiresAt.Add(-c.timing.stopMargin())) {
 		return 0, false
 	}
 	return c.term, true
@@ -140,7 +142,7 @@
 // released or has not changed for its whole duration since its revision was first seen. A holder whose lease has
 // expired may still renew it, because nobody has taken over while the row is unchanged.
 func (c *candidateState) nextRecord(now time.Time, token string) (record, bool) {
-	if !c.hasReadRow || c.stopped {
+	if !c.hasReadRow || c.stopped || c.abstaining {
 		return record{}, false
 	}
 	next := record{
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -52,6 +52,9 @@
 	Log           zerolog.Logger
 	// Timing defaults to DefaultTiming.
 	Timing Timing
+	// Abstain reports whether this instance cannot do what the lease is for, and others can: it then releases the lease and does
+	// not take it. It may be nil.
+	Abstain func() bool
 	// Now returns the current time of the clock that measures the lease duration; nil means time.Now. On machines that
 	// may be suspended it must advance during a suspension.
 	Now func() time.Time
@@ -111,7 +114,7 @@
 	if err != nil && !errors.Is(err, errNoWriteDue) {
 		return retryInterval
 	}
-	if l.state.stopped {
+	if l.state.stopped || l.state.abstaining {
 		return l.opts.Timing.ReadInterval
 	}
 	if l.state.held {
@@ -127,6 +130,9 @@
 	defer cancel()
 	l.tableMu.Lock()
 	defer l.tableMu.Unlock()
+	if l.updateAbstaining() {
+		return l.releaseForNow(ctx)
+	}
 	if !l.lastCommitSucceeded() {
 		if err := l.readRow(ctx); err != nil {
 			return err
@@ -140,6 +146,34 @@
 	return l.readRow(ctx)
 }
 
+// updateAbstaining asks Options.Abstain and returns its result.
+func (l *Lease) updateAbstaining() bool {
+	abstain := l.opts.Abstain != nil && l.opts.Abstain()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.state.abstaining = abstain
+	return abstain
+}
+
+// releaseForNow releases the lease if this instance holds it and no call of Guard is running: a call that ends after a successor's
+// first one would be an old one.
+func (l *Lease) releaseForNow(ctx context.Context) error {
+	l.mu.Lock()
+	next, ok := l.state.releaseRecord(uuid.NewString())
+	isBusy := l.activeGuards > 0
+	expected := l.state.latest.revision
+	l.mu.Unlock()
+	if !ok || isBusy {
+		return errNoWriteDue
+	}
+	l.opts.Log.Info().Str("lease", l.opts.Name).Int64("term", next.Term).Msg(event.LeaseReleased)
+	if err := l.commit(ctx, next, expected); err != nil {
+		l.opts.Log.Warn().Err(err).Str("lease", l.opts.Name).Msg(event.LeaseWriteFailed)
+		return l.readRow(ctx)
+	}
+	return nil
+}
+
 // lastCommitSucceeded reports whether this candidate's last commit succeeded, so that it knows the row and need not
 // read it before the next commit.
 func (l *Lease) lastCommitSucceeded() bool {
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -280,3 +280,46 @@
 		})
 	}
 }
+
+// Guards against a holder that keeps the lease although it cannot do what the lease is for, against one that gives it up while a
+// send is running, and against one that takes it back at once.
+func TestAbstainingHolderReleases(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &fakeTable{rows: make(map[string]api.Row)}
+		var abstain atomic.Bool
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg conc.WaitGroup
+		start := func(name string, abstains func() bool) *Lease {
+			l := New(Options{Name: "order", Holder: name, Run: 1, Table: table, Log: zerolog.Nop(), Abstain: abstains})
+			wg.Go(func() { _ = l.Run(ctx) })
+			time.Sleep(time.Second)
+			return l
+		}
+		first, second := start("i0", abstain.Load), start("i1", nil)
+		held := func(l *Lease) bool { _, ok := l.Held(time.Now()); return ok }
+		if !held(first) {
+			t.Fatal("the first candidate does not hold the lease")
+		}
+		sending := make(chan struct{})
+		wg.Go(func() {
+			_ = first.Guard(ctx, func(context.Context, int64) error { <-sending; return nil })
+		})
+		abstain.Store(true)
+		time.Sleep(1500 * time.Millisecond)
+		if held(first) || held(second) {
+			t.Errorf("while a send is running: held by the first %v, by the second %v", held(first), held(second))
+		}
+		close(sending)
+		time.Sleep(3 * ReadInterval)
+		if held(first) || !held(second) {
+			t.Errorf("after the send: held by the first %v, by the second %v", held(first), held(second))
+		}
+		abstain.Store(false)
+		time.Sleep(10 * time.Second)
+		if held(first) || !held(second) {
+			t.Error("the first candidate took the lease back")
+		}
+		cancel()
+		wg.Wait()
+	})
+}
