forward: connections to targets that the network dropped are closed after 3 s

What callers saw: a request that may run once only and was sent over an open connection that hangs is lost; it cannot be sent again.

Cause: idle connections were probed first after 15 s and given up after 150 s (the defaults of net.Dialer), and sent bytes without an acknowledgement had no limit but the request's.

Change: probes each second, closed after two without a response; TCP_USER_TIMEOUT of 2.5 s, which also decides about probes. No library in use sets the option by itself.

Measured: TestConnectionsThatHangAreClosed (150 s before).

--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -10,9 +10,11 @@
 	"net/url"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 
 	"github.com/egretspar/egretspar/internal/reach"
 )
@@ -74,7 +76,7 @@
 func newClient(options Options) *client {
 	dial := options.DialContext
 	if dial == nil {
-		dial = (&net.Dialer{Timeout: options.Limits.DialTimeout}).DialContext
+		dial = targetDialer(options.Limits.DialTimeout).DialContext
 	}
 	tlsConfig := options.TLS
 	if tlsConfig == nil {
@@ -104,6 +106,31 @@
 	return c
 }
 
+const (
+	// An idle connection is probed each keepAliveInterval and closed after keepAliveProbes without a response: the network may
+	// drop its packets without a reset.
+	keepAliveInterval = time.Second
+	keepAliveProbes   = 2
+	// unackedTimeout closes a connection whose sent bytes are not acknowledged. The kernel also applies it to probes, so it must
+	// not be shorter than all of them but the last.
+	unackedTimeout = 2500 * time.Millisecond
+)
+
+// targetDialer returns a dialer whose connections end soon after the network has dropped them.
+func targetDialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{
+		Timeout:         timeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes},
+		Control: func(_, _ string, socket syscall.RawConn) error {
+			var setErr error
+			err := socket.Control(func(fd uintptr) {
+				setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+			})
+			return errors.Wrap(cmp.Or(err, setErr), "set TCP_USER_TIMEOUT")
+		},
+	}
+}
+
 func attachConn(ctx context.Context, raw net.Conn, err error) (net.Conn, error) {
 	if err != nil {
 		return nil, err
--- a/internal/forward/network_test.go
+++ b/internal/forward/network_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 
 	"github.com/egretspar/egretspar/internal/engine"
 	"github.com/egretspar/egretspar/internal/outcome"
@@ -313,3 +314,38 @@
 		t.Errorf("the target sees %v, want a reset", err)
 	}
 }
+
+// Guards against idle connections that are used long after the network has dropped them without a reset: by default they are
+// probed first after 15 s and given up after 150 s.
+func TestConnectionsThatHangAreClosed(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	c, err := targetDialer(time.Second).DialContext(t.Context(), "tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	option := func(name int) time.Duration {
+		value := 0
+		if controlErr := raw.Control(func(fd uintptr) { value, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, name) }); controlErr != nil || err != nil {
+			t.Fatal(controlErr, err)
+		}
+		return time.Duration(value)
+	}
+	idle, interval, count := option(unix.TCP_KEEPIDLE)*time.Second, option(unix.TCP_KEEPINTVL)*time.Second, option(unix.TCP_KEEPCNT)
+	unacked := option(unix.TCP_USER_TIMEOUT) * time.Millisecond
+	// Callers of a cut instance have to be served from 3 s after the cut began.
+	if closedAfter := idle + interval*count; closedAfter > 3*time.Second || unacked == 0 || unacked > 3*time.Second {
+		t.Errorf("an idle connection is closed after %v, one with unacknowledged bytes after %v", closedAfter, unacked)
+	}
+	if unacked <= idle+interval*(count-2) {
+		t.Errorf("probes are given up after %v, before the last one but one", unacked)
+	}
+}
