live: instances log which targets say that they leave

Cause: the logs did not show that a response says so, so nobody could count the requests that follow.

Conclusion: the word is not heeded on any path.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -73,10 +73,12 @@
 	TargetCrashed             Name = "target crashed or disconnected while it ran a request"
 	TargetDecodeFailed        Name = "target entry not decoded"
 	TargetEntryExpired        Name = "target entry expired around an outage, target kept for now"
+	TargetLeaving             Name = "target says it leaves"
 	TargetLimitBegan          Name = "target names a limit"
 	TargetLimitDecodeFailed   Name = "limit of a target not decoded"
 	TargetLimitEnded          Name = "target no longer names a limit"
 	TargetRemoved             Name = "target removed"
+	TargetStays               Name = "target no longer says it leaves"
 	TargetsOrdered            Name = "targets ordered"
 	TextListFailed            Name = "stored text not listed, items restart"
 	TextRead                  Name = "stored text read"
@@ -162,10 +164,12 @@
 	TargetCrashed:             "a target crashed or disconnected while it ran the request with this hash; from the third target on the request is refused",
 	TargetDecodeFailed:        "a target entry could not be decoded and is not used",
 	TargetEntryExpired:        "a target's entry vanished near an outage of the store; the target is used for 2.2 s more",
+	TargetLeaving:             "a response of `target` to this instance says that it leaves; `service`, `status`",
 	TargetLimitBegan:          "a response of `target` to this instance names a limit that it had not named here before; `limit` in requests a second, `status`",
 	TargetLimitDecodeFailed:   "a response of `target` names a limit that is no number; what it named before stays in force",
 	TargetLimitEnded:          "a response of `target` to this instance names its limit no more",
 	TargetRemoved:             "a target's entry was removed",
+	TargetStays:               "a response of `target` to a later request no longer says that it leaves",
 	TargetsOrdered:            "the lease holder ordered a number of engines; `load`, `count`, `term`",
 	TextListFailed:            "a takeover could not list stored text",
 	TextRead:                  "items continue after stored text; `stored`, `used`",
--- a/internal/live/view.go
+++ b/internal/live/view.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"sync"
+	"time"
 )
 
 // Target is a model engine or another back end, as described in its entry.
@@ -30,15 +31,26 @@
 	mu      sync.Mutex
 	config  *Config
 	targets map[string]Target
+	// runs holds what is known of the current run of each target beside its description. It outlives a target whose entry vanishes.
+	runs map[string]run
 	// releases holds the newest weight version by model.
 	releases map[string]int
 	// changed is closed and replaced by a new channel at each change.
 	changed chan struct{}
 }
 
+// run is one run of a target.
+type run struct {
+	startNumber int64
+	// knownSince is when its description was first seen.
+	knownSince time.Time
+	// leavingSince is when the request was sent whose response first said that the target leaves; zero if none did.
+	leavingSince time.Time
+}
+
 // NewView returns a view without configuration and targets.
 func NewView() *View {
-	return &View{targets: map[string]Target{}, releases: map[string]int{}, changed: make(chan struct{})}
+	return &View{targets: map[string]Target{}, runs: map[string]run{}, releases: map[string]int{}, changed: make(chan struct{})}
 }
 
 // Config returns the configuration in force, or nil if there is none yet.
@@ -67,10 +79,31 @@
 	if old, ok := v.targets[t.ID]; ok && old.StartNumber == t.StartNumber {
 		t.Versions = mergeVersions(old.Versions, t.Versions)
 	}
+	if known, ok := v.runs[t.ID]; !ok || known.startNumber != t.StartNumber {
+		v.runs[t.ID] = run{startNumber: t.StartNumber, knownSince: time.Now()}
+	}
 	v.targets[t.ID] = t
 	v.signalChange()
 }
 
+// ObserveLeaving records what a target's response to a request that was sent at sentAt says: whether the target leaves. It reports
+// whether that is new. A response to an earlier run, or from before the target said that it leaves, changes nothing.
+func (v *View) ObserveLeaving(id string, leaving bool, sentAt time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	r, ok := v.runs[id]
+	switch {
+	case !ok, r.knownSince.After(sentAt), leaving != r.leavingSince.IsZero(), !leaving && !sentAt.After(r.leavingSince):
+		return false
+	case leaving:
+		r.leavingSince = sentAt
+	default:
+		r.leavingSince = time.Time{}
+	}
+	v.runs[id] = r
+	return true
+}
+
 // ObserveVersion records the weight version that a run of a target named in a response. It may be newer than the
 // version in the target's last description.
 func (v *View) ObserveVersion(id string, startNumber int64, model string, version int) {
--- a/tools/checklogs/main_test.go
+++ b/tools/checklogs/main_test.go
@@ -178,3 +178,28 @@
 		}
 	}
 }
+
+// Guards against a count that misses requests to a target that said it leaves, or that finds those of other instances, of a new
+// process, from just after, or to a target that stays after all.
+func TestCheckLeaving(t *testing.T) {
+	told := `event="target says it leaves" instance=a target=e`
+	request := func(instance string) string {
+		return fmt.Sprintf(`event="request ended" elapsed=10 instance=%s target=e`, instance)
+	}
+	for _, tc := range []struct {
+		name    string
+		entries []any
+		found   bool
+	}{
+		{"late", []any{0, told, 2100, request("a")}, true},
+		{"an item", []any{0, told, 2100, `event="item run started" instance=a target=e item=i`}, true},
+		{"in time", []any{0, told, 2005, request("a")}, false},
+		{"another instance", []any{0, told, 2100, request("b")}, false},
+		{"a new process", []any{0, told, 1000, `event="instance started" instance=a`, 2100, request("a")}, false},
+		{"the target stays", []any{0, told, 1000, `event="target no longer says it leaves" instance=a target=e`, 2100, request("a")}, false},
+	} {
+		if findings := checkLeaving(logOf(t, tc.entries...)); (len(findings) > 0) != tc.found {
+			t.Errorf("%s: %q", tc.name, findings)
+		}
+	}
+}
