live: a target that says it leaves gets nothing more

What callers saw: nothing while it was there; requests that reached it until it went were broken off with it.

Cause: that a target leaves was taken from its entry in the store only. While the store is silent entries don't change, and what the target said in each response was not decoded. Class: a response carries a fact that only a list was asked for.

Change: the view marks the run of a target as draining when a response says so, so that router, items, rewards, orders and relayed requests all heed it. It lasts until the run ends or the target says otherwise.

Conclusion: one state with two sources meets the rule on all paths.

--- a/internal/forward/network_test.go
+++ b/internal/forward/network_test.go
@@ -287,7 +287,7 @@
 // Guards against an order that reaches its target long after it was given up, when the network delivers what was still under way.
 func TestAbandonedRequestIsReset(t *testing.T) {
 	reset := make(chan error, 1)
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		hijacked, _, err := http.NewResponseController(w).Hijack()
 		if err != nil {
 			reset <- err
--- a/internal/live/live_test.go
+++ b/internal/live/live_test.go
@@ -1,6 +1,9 @@
 package live
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 func testConfig() *Config {
 	c := NewConfig(3, Limits{})
@@ -94,3 +97,36 @@
 		t.Errorf("restarted target %+v", got)
 	}
 }
+
+// Guards against a word of a target's responses that does not last until its run ends, or that lasts longer: into another run, or
+// after the target says otherwise.
+func TestWordThatTargetLeavesLastsForItsRun(t *testing.T) {
+	start := time.Now()
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	entry := func(run int64, draining bool) Target { return Target{ID: "a", StartNumber: run, Draining: draining} }
+	for _, tc := range []struct {
+		name   string
+		events func(*View)
+		want   bool
+	}{
+		{"said", func(*View) {}, true},
+		{"the entry comes again", func(v *View) { v.SetTarget(entry(1, false)) }, true},
+		{"the entry vanishes and comes again", func(v *View) { v.RemoveTarget("a"); v.SetTarget(entry(1, false)) }, true},
+		{"a new run", func(v *View) { v.SetTarget(entry(2, false)) }, false},
+		{"the entry says draining, then not", func(v *View) { v.SetTarget(entry(1, true)); v.SetTarget(entry(1, false)) }, false},
+		{"a later response no longer says it", func(v *View) { v.ObserveLeaving("a", false, at(1020)) }, false},
+		{"an earlier response arrives late", func(v *View) { v.ObserveLeaving("a", false, at(1005)) }, true},
+		{"a late response of the former run", func(v *View) { v.SetTarget(entry(2, false)); v.ObserveLeaving("a", true, at(-1000)) }, false},
+		{"an unknown target", func(v *View) { v.ObserveLeaving("b", true, at(1010)) }, true},
+	} {
+		view := NewView()
+		view.SetTarget(entry(1, false))
+		if !view.ObserveLeaving("a", true, at(1010)) || view.ObserveLeaving("a", true, at(1015)) {
+			t.Errorf("%s: the word is not new once", tc.name)
+		}
+		tc.events(view)
+		if target, _ := view.Target("a"); target.Draining != tc.want {
+			t.Errorf("%s: draining %v", tc.name, target.Draining)
+		}
+	}
+}
--- a/internal/live/view.go
+++ b/internal/live/view.go
@@ -44,6 +44,8 @@
 	startNumber int64
 	// knownSince is when its description was first seen.
 	knownSince time.Time
+	// listedDraining is whether its description said that it drains.
+	listedDraining bool
 	// leavingSince is when the request was sent whose response first said that the target leaves; zero if none did.
 	leavingSince time.Time
 }
@@ -79,15 +81,39 @@
 	if old, ok := v.targets[t.ID]; ok && old.StartNumber == t.StartNumber {
 		t.Versions = mergeVersions(old.Versions, t.Versions)
 	}
-	if known, ok := v.runs[t.ID]; !ok || known.startNumber != t.StartNumber {
-		v.runs[t.ID] = run{startNumber: t.StartNumber, knownSince: time.Now()}
+	r, ok := v.runs[t.ID]
+	switch {
+	case !ok, r.startNumber != t.StartNumber:
+		r = run{startNumber: t.StartNumber, knownSince: time.Now()}
+	case r.listedDraining && !t.Draining:
+		// The target stays after all. An entry that never said draining may be older than the word in the responses.
+		r.leavingSince = time.Time{}
 	}
+	r.listedDraining = t.Draining
+	v.setRun(t.ID, r)
+	t.Draining = t.Draining || !r.leavingSince.IsZero()
 	v.targets[t.ID] = t
 	v.signalChange()
 }
 
-// ObserveLeaving records what a target's response to a request that was sent at sentAt says: whether the target leaves. It reports
-// whether that is new. A response to an earlier run, or from before the target said that it leaves, changes nothing.
+// maxFormerRuns limits the runs of targets without a description that are remembered.
+const maxFormerRuns = 1024
+
+// setRun sets the run of a target and forgets those of former targets if there are many. The caller holds the lock.
+func (v *View) setRun(id string, r run) {
+	v.runs[id] = r
+	if len(v.runs) > len(v.targets)+maxFormerRuns {
+		maps.DeleteFunc(v.runs, func(id string, _ run) bool {
+			_, ok := v.targets[id]
+			return !ok
+		})
+	}
+}
+
+// ObserveLeaving records what a target's response to a request that was sent at sentAt says: whether the target leaves. A run that
+// leaves is Draining, also when its description comes again, until its description or a response to a later request says otherwise.
+// ObserveLeaving reports whether that is new. A response to an earlier run, or from before the target said that it leaves, changes
+// nothing.
 func (v *View) ObserveLeaving(id string, leaving bool, sentAt time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -101,6 +127,11 @@
 		r.leavingSince = time.Time{}
 	}
 	v.runs[id] = r
+	if t, ok := v.targets[id]; ok {
+		t.Draining = r.listedDraining || leaving
+		v.targets[id] = t
+		v.signalChange()
+	}
 	return true
 }
 
