streams: the versions of a service outlive the processes that saw them

What callers saw (on a system like ours): streams taken up again after all instances had been killed around a release were answered 200 and joined from two software versions.

Cause: which versions a service had was held by processes only. A process that started after the last target of a version had left saw one version and took that to mean that all streams were of it.

Change: a row for each service names its versions of the last minute, written when they change.

--- a/internal/streams/table.go
+++ b/internal/streams/table.go
@@ -1,9 +1,12 @@
 // Package streams remembers which software version of a service's targets began each caller's stream, because a stream may go
 // on only at that version. Table does no I/O and has no clock; Worker exchanges what the instances know through rows of the
-// table service, only while a service has targets of several versions.
+// table service: streams only while a service has targets of several versions, and always which versions it has, so that a
+// process that was not there when one left knows of it.
 package streams
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -52,52 +55,108 @@
 	order   []string
 	// unshared holds the ids of own streams that the other instances cannot know yet.
 	unshared []string
-	// seen holds when a target of each version was last listed, by service.
-	seen    map[string]map[string]time.Time
-	changes chan struct{}
+	// versions holds the software versions of each service.
+	versions map[string]*versions
+	changes  chan struct{}
+}
+
+// versions holds the software versions of one service.
+type versions struct {
+	listed map[string]bool
+	// formerly holds when each version was last listed that is not any more.
+	formerly map[string]time.Time
+	// stored holds the versions in the row of the service, sorted.
+	stored []string
+}
+
+// current returns the versions that may have begun a stream that is still taken up, sorted.
+func (v *versions) current(now time.Time) []string {
+	maps.DeleteFunc(v.formerly, func(_ string, lastListed time.Time) bool { return now.Sub(lastListed) > mixedFor })
+	return slices.Sorted(func(yield func(string) bool) {
+		for software := range v.listed {
+			if !yield(software) {
+				return
+			}
+		}
+		for software := range v.formerly {
+			if !yield(software) {
+				return
+			}
+		}
+	})
 }
 
 // NewTable returns a table without streams.
 func NewTable() *Table {
-	return &Table{streams: map[string]entry{}, seen: map[string]map[string]time.Time{}, changes: make(chan struct{}, 1)}
+	return &Table{streams: map[string]entry{}, versions: map[string]*versions{}, changes: make(chan struct{}, 1)}
 }
 
-// ObserveTargets records the software versions that each service's targets have now.
-func (t *Table) ObserveTargets(versions map[string][]string, now time.Time) {
+// get returns the versions of a service. The caller holds the lock.
+func (t *Table) get(service string) *versions {
+	v, ok := t.versions[service]
+	if !ok {
+		v = &versions{listed: map[string]bool{}, formerly: map[string]time.Time{}}
+		t.versions[service] = v
+	}
+	return v
+}
+
+// ObserveTargets records the software versions that the targets of all services have now.
+func (t *Table) ObserveTargets(listed map[string][]string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for service, all := range versions {
-		if t.seen[service] == nil {
-			t.seen[service] = map[string]time.Time{}
+	for service := range listed {
+		t.get(service)
+	}
+	for service, v := range t.versions {
+		before := v.listed
+		v.listed = map[string]bool{}
+		for _, software := range listed[service] {
+			v.listed[software] = true
+			delete(v.formerly, software)
 		}
-		for _, software := range all {
-			t.seen[service][software] = now
+		for software := range before {
+			if !v.listed[software] {
+				v.formerly[software] = now
+			}
 		}
-		if t.isMixed(service, now) {
+		if current := v.current(now); len(current) > 1 || !slices.Equal(current, v.stored) {
 			t.signalChange()
 		}
 	}
 }
 
-// isMixed reports whether a service has had targets of several versions lately. The caller holds the lock.
-func (t *Table) isMixed(service string, now time.Time) bool {
-	versions := t.seen[service]
-	if len(versions) < 2 {
-		return false
-	}
-	var newest time.Time
-	for _, at := range versions {
-		if at.After(newest) {
-			newest = at
+// LearnVersions records the row of a service. A version in it that is not listed may have left while this process did not run, and
+// counts as having left just now.
+func (t *Table) LearnVersions(service string, stored []string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	v := t.get(service)
+	v.stored = slices.Sorted(slices.Values(stored))
+	for _, software := range stored {
+		if _, ok := v.formerly[software]; !ok && !v.listed[software] {
+			v.formerly[software] = now
 		}
 	}
-	for software, at := range versions {
-		// Targets are not observed while nothing changes, so the time of the last change counts as now.
-		if !at.Equal(newest) && now.Sub(at) > mixedFor {
-			delete(versions, software)
+}
+
+// OutdatedVersions returns the versions of the services whose rows say something else.
+func (t *Table) OutdatedVersions(now time.Time) map[string][]string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	outdated := map[string][]string{}
+	for service, v := range t.versions {
+		// Without any version the row stays: nothing says which one comes next.
+		if current := v.current(now); len(current) > 0 && !slices.Equal(current, v.stored) {
+			outdated[service] = current
 		}
 	}
-	return len(versions) > 1
+	return outdated
+}
+
+// isMixed reports whether a service has had targets of several versions lately. The caller holds the lock.
+func (t *Table) isMixed(service string, now time.Time) bool {
+	return len(t.get(service).current(now)) > 1
 }
 
 // Begin records that a stream through this instance begins at a target.
--- a/internal/streams/table_test.go
+++ b/internal/streams/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -49,3 +50,43 @@
 	table.Begin(Entry{"late", "s", "v2"}, at(100))
 	expect(100, "early", AnyTarget, "")
 }
+
+// Guards against streams that go on anywhere because the process that knew of another version is gone, and against streams that are
+// refused long after that version left.
+func TestVersionsOutliveTheProcess(t *testing.T) {
+	start := time.Now()
+	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+	listed := func(versions ...string) map[string][]string { return map[string][]string{"s": versions} }
+	former := NewTable()
+	former.ObserveTargets(listed("v1"), at(0))
+	if got := former.OutdatedVersions(at(0))["s"]; !slices.Equal(got, []string{"v1"}) {
+		t.Errorf("outdated %v at the start", got)
+	}
+	former.LearnVersions("s", []string{"v1"}, at(1))
+	if got := former.OutdatedVersions(at(1)); len(got) != 0 {
+		t.Errorf("outdated %v although the row says so", got)
+	}
+	table := NewTable()
+	table.LearnVersions("s", []string{"v1"}, at(10))
+	table.ObserveTargets(listed("v2"), at(11))
+	if got, _ := table.Resume("s", "of the former process", at(12)); got != Unknown {
+		t.Errorf("stream of a version that left while no process ran: %v", got)
+	}
+	table.Begin(Entry{"new", "s", "v2"}, at(13))
+	if got := table.TakeUnshared(10, at(13)); len(got) != 1 {
+		t.Errorf("shared %v, want the new stream", got)
+	}
+	if got := table.OutdatedVersions(at(13))["s"]; !slices.Equal(got, []string{"v1", "v2"}) {
+		t.Errorf("outdated %v after the second version", got)
+	}
+	if got, _ := table.Resume("s", "of the former process", at(100)); got != AnyTarget {
+		t.Errorf("a minute later: %v", got)
+	}
+	if got := table.OutdatedVersions(at(100))["s"]; !slices.Equal(got, []string{"v2"}) {
+		t.Errorf("outdated %v after the first version left", got)
+	}
+	table.ObserveTargets(listed(), at(101))
+	if got := table.OutdatedVersions(at(300)); len(got) != 0 {
+		t.Errorf("outdated %v without any target", got)
+	}
+}
