reach: one cut link is no cut of the instance; targets that are gone are asked about less

Cause, found by reading the change: a cut link to one target made the instance count as cut while open connections to the others were in use, so it gave up the lease and others went around it. A target that is listed and gone was asked about by every instance each 2 s for as long as it was listed, and a request to it tried up to three instances each time. After a cut, each link was tried again by itself, four in 0.25 s.

Change: an instance counts as cut 0.5 s after it seems so, in which links that have not failed are tried. Questions become rarer up to one in 30 s; a target that others did not reach either is not tried through them for a second. When one link that was cut is back, the others are used directly at once, and go through others again if that fails.

--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -236,7 +236,7 @@
 			return response, err
 		}
 	}
-	if mayRelay {
+	if mayRelay && !way.NoPeers {
 		connection, response, err := c.openOrRelay(request, pool, way.ViaPeer)
 		if connection == nil {
 			return response, err
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -179,6 +179,7 @@
 		}
 	}
 	if len(deniedBy) > 0 {
+		c.reach.Denied(pool.url, time.Now())
 		return nil, &sendError{stage: stageConnect, cause: errNotReached}, true
 	}
 	return nil, nil, false
@@ -279,6 +280,7 @@
 
 // AskPeers asks other instances whether they reach a target, until one does. The table learns the result.
 func (f *Forwarder) AskPeers(ctx context.Context, targetURL string) {
+	isDenied := false
 	for _, peer := range f.client.reach.Peers(targetURL, time.Now()) {
 		check, err := http.NewRequestWithContext(ctx, http.MethodGet, peer.URL+"/", nil)
 		if err != nil {
@@ -295,8 +297,13 @@
 			_ = response.Body.Close()
 			f.client.reach.Relayed(targetURL, time.Now())
 			return
+		default:
+			isDenied = true
 		}
 	}
+	if isDenied {
+		f.client.reach.Denied(targetURL, time.Now())
+	}
 }
 
 // RelayOptions configure the handler of requests from other instances.
@@ -338,15 +345,22 @@
 	})
 }
 
-// check reports whether this instance reaches a target.
+// check reports whether this instance reaches a target. A failure is not recorded: this instance has no request for the target.
 func (f *Forwarder) check(ctx context.Context, targetURL string) relayError {
-	if f.client.reach.ContactWithin(targetURL, recentContact, time.Now()) {
+	c := f.client
+	if c.reach.ContactWithin(targetURL, recentContact, time.Now()) {
 		return ""
 	}
-	f.Probe(context.WithValue(ctx, sendOptionsKey{}, sendOptions{dialTimeout: relayDialTimeout}), targetURL)
-	if !f.client.reach.ContactWithin(targetURL, recentContact, time.Now()) {
+	pool, err := c.pool(targetURL)
+	if err != nil {
+		return relayUnknown
+	}
+	connection, err := c.dial(context.WithValue(ctx, sendOptionsKey{}, sendOptions{dialTimeout: relayDialTimeout}), pool)
+	if err != nil {
 		return relayUnreachable
 	}
+	c.reach.Opened(targetURL, time.Now())
+	connection.finishResponse()
 	return ""
 }
 
--- a/internal/reach/table.go
+++ b/internal/reach/table.go
@@ -19,8 +19,14 @@
 	linkTTL = 10 * time.Minute
 	// probeInterval is the time between two attempts to open a connection to a target whose link is cut.
 	probeInterval = 500 * time.Millisecond
-	// askInterval is the time between two questions to other instances whether they reach a target.
-	askInterval = 2 * time.Second
+	// cutConfirmation is the time in which links to targets that have not failed are tried, before this instance counts as cut.
+	cutConfirmation = 500 * time.Millisecond
+	// askInterval is the time between the first two questions to other instances whether they reach a target; it doubles up to
+	// maxAskInterval while they do not.
+	askInterval    = 2 * time.Second
+	maxAskInterval = 30 * time.Second
+	// deniedTTL is how long a target that other instances did not reach either is not tried through them again.
+	deniedTTL = time.Second
 )
 
 // link is what is known about the direct way to one target. Times are zero for what has not happened.
@@ -33,6 +39,9 @@
 	openFailedSince time.Time
 	// relayedAt is when another instance last reached the target.
 	relayedAt time.Time
+	// deniedAt is when other instances last did not reach it either, and denials how often they did not in a row.
+	deniedAt time.Time
+	denials  int
 	// triedAt is when the worker last tried the link or asked about it.
 	triedAt time.Time
 	usedAt  time.Time
@@ -57,6 +66,8 @@
 	UseIdle bool
 	// ViaPeer means that a new connection would probably fail, so that another instance goes first.
 	ViaPeer bool
+	// NoPeers means that other instances did not reach the target a moment ago.
+	NoPeers bool
 }
 
 // Table holds the links to all targets, by URL, and the other instances. It is safe for concurrent use. A nil Table knows
@@ -73,7 +84,9 @@
 	// cutSince is when connections began to fail, if a link has been found cut and none could be opened since; cutEndedAt is when
 	// one could be opened again.
 	cutSince, cutEndedAt time.Time
-	peers                map[string]*peer
+	// cutFoundAt is when cutSince was set.
+	cutFoundAt time.Time
+	peers      map[string]*peer
 }
 
 // NewTable returns a table without links for an instance in a zone.
@@ -100,10 +113,22 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	l := t.get(target, now)
+	wasCut := l.isCut()
 	l.opened, l.failedSince, l.openFailedSince = now, time.Time{}, time.Time{}
 	t.lastContact, t.lastOpened, t.silentSince = now, now, time.Time{}
-	if !t.cutSince.IsZero() {
-		t.cutSince, t.cutEndedAt = time.Time{}, now
+	l.denials = 0
+	if t.cutSince.IsZero() {
+		return
+	}
+	if now.Sub(t.cutFoundAt) >= cutConfirmation {
+		t.cutEndedAt = now
+	}
+	t.cutSince = time.Time{}
+	for _, other := range t.links {
+		// The other links that were cut are probably back together with this one.
+		if wasCut && other.isCut() {
+			other.openFailedSince = time.Time{}
+		}
 	}
 }
 
@@ -131,7 +156,7 @@
 		l.openFailedSince = startedAt
 	}
 	l.fail(startedAt)
-	t.updateCut(l)
+	t.updateCut(l, now)
 }
 
 // Silent records a request that was sent over an open connection at sentAt and got no response.
@@ -158,15 +183,28 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	l := t.get(target, now)
-	l.relayedAt = now
-	t.updateCut(l)
+	l.relayedAt, l.denials = now, 0
+	t.updateCut(l, now)
+}
+
+// Denied records that other instances did not reach a target either.
+func (t *Table) Denied(target string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l := t.get(target, now)
+	l.deniedAt = now
+	l.denials++
 }
 
 // updateCut sets cutSince if a link is cut and no connection was opened since. The caller holds the lock.
-func (t *Table) updateCut(l *link) {
-	if l.isCut() && !t.lastOpened.After(l.openFailedSince) && (t.cutSince.IsZero() || l.openFailedSince.Before(t.cutSince)) {
-		t.cutSince = l.openFailedSince
+func (t *Table) updateCut(l *link, now time.Time) {
+	if !l.isCut() || t.lastOpened.After(l.openFailedSince) || !t.cutSince.IsZero() && !l.openFailedSince.Before(t.cutSince) {
+		return
 	}
+	if t.cutSince.IsZero() {
+		t.cutFoundAt = now
+	}
+	t.cutSince = l.openFailedSince
 }
 
 // Way returns how a request should reach a target.
@@ -181,7 +219,7 @@
 	case !t.cutSince.IsZero():
 		return Way{UseIdle: l.answered.After(t.cutSince), ViaPeer: true}
 	}
-	return Way{UseIdle: t.silentSince.IsZero()}
+	return Way{UseIdle: t.silentSince.IsZero(), NoPeers: !l.deniedAt.IsZero() && now.Sub(l.deniedAt) < deniedTTL}
 }
 
 // IsCut reports whether this instance's link to a target is cut.
@@ -200,10 +238,14 @@
 	return ok && now.Sub(l.lastContact()) < d
 }
 
-// CutSince returns since when this instance opens no connections to targets that others reach; zero if it does.
-func (t *Table) CutSince() time.Time {
+// CutSince returns since when this instance opens no connections to targets that others reach; zero if it does, or if that was
+// found less than cutConfirmation ago.
+func (t *Table) CutSince(now time.Time) time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if now.Sub(t.cutFoundAt) < cutConfirmation {
+		return time.Time{}
+	}
 	return t.cutSince
 }
 
@@ -211,20 +253,27 @@
 func (t *Table) CutWithin(d time.Duration, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !t.cutSince.IsZero() || !t.cutEndedAt.IsZero() && now.Sub(t.cutEndedAt) < d
+	isCut := !t.cutSince.IsZero() && now.Sub(t.cutFoundAt) >= cutConfirmation
+	return isCut || !t.cutEndedAt.IsZero() && now.Sub(t.cutEndedAt) < d
 }
 
-// TakeCut returns up to limit targets whose links are cut and should be tried again now, those first that were tried longest ago.
+// TakeCut returns up to limit targets whose links should be tried again now because they are cut, or because all seem to be, those
+// first that were tried longest ago.
 func (t *Table) TakeCut(limit int, now time.Time) []string {
-	return t.take(limit, probeInterval, now, (*link).isCut)
+	t.mu.Lock()
+	allSeemCut := !t.cutSince.IsZero()
+	t.mu.Unlock()
+	isWanted := func(l *link) bool { return l.isCut() || allSeemCut }
+	return t.take(limit, now, isWanted, func(*link) time.Duration { return probeInterval })
 }
 
 // TakeUnexplained returns up to limit targets to which connections failed, so that it is not known yet whether the link is cut.
 func (t *Table) TakeUnexplained(limit int, now time.Time) []string {
-	return t.take(limit, askInterval, now, func(l *link) bool { return !l.openFailedSince.IsZero() && !l.isCut() })
+	isUnexplained := func(l *link) bool { return !l.openFailedSince.IsZero() && !l.isCut() }
+	return t.take(limit, now, isUnexplained, func(l *link) time.Duration { return min(askInterval<<min(l.denials, 8), maxAskInterval) })
 }
 
-func (t *Table) take(limit int, interval time.Duration, now time.Time, matches func(*link) bool) []string {
+func (t *Table) take(limit int, now time.Time, matches func(*link) bool, interval func(*link) time.Duration) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var due []string
@@ -233,7 +282,7 @@
 			delete(t.links, target)
 			continue
 		}
-		if matches(l) && now.Sub(l.triedAt) >= interval {
+		if matches(l) && now.Sub(l.triedAt) >= interval(l) {
 			due = append(due, target)
 		}
 	}
--- a/internal/reach/table_test.go
+++ b/internal/reach/table_test.go
@@ -69,11 +69,20 @@
 		{"a slow target beside others", func(t *Table) { t.Silent("a", at(10), at(400)); t.Answered("b", at(450)) }, direct, direct, false},
 		{"silent from before the last contact", func(t *Table) { t.Answered("b", at(300)); t.Silent("a", at(10), at(400)) }, direct, direct, false},
 		{"restored", func(t *Table) { t.OpenFailed("a", at(0), at(400)); t.Relayed("a", at(120)); t.Opened("a", at(900)) }, direct, direct, false},
+		{"restored, with the links that were cut too", func(t *Table) {
+			t.OpenFailed("a", at(0), at(400))
+			t.Relayed("a", at(120))
+			t.OpenFailed("b", at(0), at(400))
+			t.Relayed("b", at(120))
+			t.Opened("b", at(900))
+		}, direct, direct, false},
+		{"others did not reach it either", func(t *Table) { t.OpenFailed("a", at(0), at(400)); t.Denied("a", at(500)) }, Way{UseIdle: true, NoPeers: true}, direct, false},
+		{"others did not reach it long ago", func(t *Table) { t.OpenFailed("a", at(-2000), at(-1000)); t.Denied("a", at(-500)) }, direct, direct, false},
 		{"reached by others before it failed here", func(t *Table) { t.Relayed("a", at(0)); t.OpenFailed("a", at(10), at(400)) }, direct, direct, false},
 	} {
 		table := NewTable("z")
 		tc.events(table)
-		if a, b, cut := table.Way("a", at(1000)), table.Way("b", at(1000)), !table.CutSince().IsZero(); a != tc.a || b != tc.b || cut != tc.cut {
+		if a, b, cut := table.Way("a", at(1000)), table.Way("b", at(1000)), !table.CutSince(at(1000)).IsZero(); a != tc.a || b != tc.b || cut != tc.cut {
 			t.Errorf("%s: %+v and %+v, cut %v", tc.name, a, b, cut)
 		}
 	}
@@ -117,3 +126,24 @@
 		t.Errorf("zones %q after all came back", got)
 	}
 }
+
+// Guards against instances that ask each other about a target that is gone as often as about one that may be back.
+func TestQuestionsBecomeRarer(t *testing.T) {
+	start := time.Now()
+	table := NewTable("z")
+	table.OpenFailed("a", start, start)
+	questions := 0
+	for at := time.Duration(0); at < 2*time.Minute; at += checkInterval {
+		for range table.TakeUnexplained(maxQuestions, start.Add(at)) {
+			table.Denied("a", start.Add(at))
+			questions++
+		}
+	}
+	// At 0, 4, 12 and 28 s, then each 30 s.
+	if questions != 7 {
+		t.Errorf("%d questions in two minutes", questions)
+	}
+	if got := table.TakeCut(maxProbes, start); len(got) != 0 {
+		t.Errorf("probes of %v, which no instance reaches", got)
+	}
+}
--- a/internal/reach/worker.go
+++ b/internal/reach/worker.go
@@ -137,7 +137,7 @@
 
 // writeRow writes this instance's row when it has changed or grows old, and removes rows that were not written for rowTTL.
 func (w *Worker) writeRow(ctx context.Context, now time.Time) {
-	cut := !w.options.Table.CutSince().IsZero()
+	cut := !w.options.Table.CutSince(now).IsZero()
 	isDue := w.wroteAt.IsZero() || now.Sub(w.wroteAt) >= refreshInterval || cut != w.wroteCut && now.Sub(w.wroteAt) >= minWriteInterval
 	if w.options.Self.URL == "" || !isDue {
 		return
