forward: idle connections to an instance that hangs are not used one after the other

Cause, found by reading the change: a request through another instance that had lost power hung on an open connection, and the next one to the same target took the next open connection to the same instance, until probes closed them after 3 s.

Change: after a request that got no response for 0.25 s the idle connections to that instance are closed; a new one shows within 0.1 s whether it is there. A caller that leaves says nothing about the instance.

Measured: TestInstanceThatHangsIsLeftOut failed before (the second request hung as well).

Conclusion: one lost request instead of one for each open connection.

--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -152,13 +152,20 @@
 		if !ok || request.Context().Err() != nil {
 			break
 		}
+		sentAt := time.Now()
 		response, failure, err := c.sendToPeer(relayed, peer)
 		c.countRelay(failure, err)
 		switch {
-		case err != nil && !err.mayHaveRun(), failure == relayCut:
-			c.reach.PeerUnusable(peer.Name, time.Now())
-		case err != nil:
+		case err != nil && err.mayHaveRun():
+			if time.Since(sentAt) >= reach.SilentAfter {
+				// The instance or the target hangs. A new connection shows whether it is the instance.
+				c.closeIdleTo(peer.URL)
+			}
 			return nil, err, true
+		case err != nil && request.Context().Err() != nil:
+			// The caller has left.
+		case err != nil, failure == relayCut:
+			c.reach.PeerUnusable(peer.Name, time.Now())
 		case failure == relayBusy:
 			c.reach.PeerBusy(peer.Name, time.Now())
 		case failure == relayUnknown:
@@ -185,6 +192,13 @@
 	return nil, nil, false
 }
 
+// closeIdleTo closes the idle connections to a URL.
+func (c *client) closeIdleTo(raw string) {
+	if pool, err := c.pool(raw); err == nil {
+		pool.closeIdle(0, time.Now())
+	}
+}
+
 // countRelay counts a request that was handed to another instance.
 func (c *client) countRelay(failure relayError, err *sendError) {
 	if c.observeRelay == nil {
--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -14,6 +14,8 @@
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/egretspar/egretspar/internal/reach"
 )
 
@@ -22,6 +24,8 @@
 	cut    *Forwarder
 	target *httptest.Server
 	isCut  atomic.Bool
+	// hangs is set while the other instance has no power.
+	hangs atomic.Bool
 	// passed counts requests that reached the other instance.
 	passed atomic.Int64
 }
@@ -42,7 +46,15 @@
 		if p.isCut.Load() && address == strings.TrimPrefix(p.target.URL, "http://") {
 			return nil, syscall.ECONNREFUSED
 		}
-		return (&net.Dialer{}).DialContext(ctx, network, address)
+		if p.hangs.Load() {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &hangingConn{c, p}, nil
 	}})
 	t.Cleanup(func() { other.client.closeIdle(0); p.cut.client.closeIdle(0) })
 	return p
@@ -145,6 +157,51 @@
 	}
 }
 
+// hangingConn loses what is written once its pair hangs.
+type hangingConn struct {
+	net.Conn
+	pair *relayPair
+}
+
+func (c *hangingConn) Write(p []byte) (int, error) {
+	if c.pair.hangs.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// Guards against requests that are sent over open connections to another instance that lost power, one after the other.
+func TestInstanceThatHangsIsLeftOut(t *testing.T) {
+	release := make(chan struct{})
+	p := newRelayPair(t, func(http.ResponseWriter, *http.Request) { <-release })
+	p.isCut.Store(true)
+	var responses conc.WaitGroup
+	for range 3 {
+		responses.Go(func() {
+			response, err := p.cut.Send(p.request(t.Context(), "GET", nil), p.target.URL)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			_, _ = io.Copy(io.Discard, response.Body)
+		})
+	}
+	for p.passed.Load() < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	close(release)
+	responses.Wait()
+	p.hangs.Store(true)
+	for n, wantUnsent := range []bool{false, true} {
+		ctx, cancel := context.WithTimeout(t.Context(), 2*reach.SilentAfter)
+		_, err := p.cut.Send(p.request(ctx, "GET", nil), p.target.URL)
+		cancel()
+		if unsent, _ := NothingSent(err); err == nil || unsent != wantUnsent {
+			t.Errorf("request %d: %v, unsent %v", n, err, unsent)
+		}
+	}
+}
+
 // Guards against calls that must come from this instance and go through another one.
 func TestDirectOnly(t *testing.T) {
 	p := newRelayPair(t, func(http.ResponseWriter, *http.Request) {})
