reach: a row that cannot be written is tried again after a second

Cause, found by reading the change: while the store is in trouble an instance with a row to write tried again each 0.25 s.

Change: the next attempt follows a second after a failed one.

Conclusion: fewer calls to a store in trouble.

--- a/internal/reach/worker.go
+++ b/internal/reach/worker.go
@@ -32,6 +32,8 @@
 	refreshInterval = 10 * time.Minute
 	rowTTL          = 30 * time.Minute
 	writeTimeout    = time.Second
+	// writeRetryDelay leaves a table service in trouble alone between two attempts.
+	writeRetryDelay = time.Second
 	// maxProbes is the number of links that are tried again at once, maxQuestions that of targets that others are asked about.
 	maxProbes    = 4
 	maxQuestions = 2
@@ -78,6 +80,8 @@
 	lostSince time.Time
 	wroteAt   time.Time
 	wroteCut  bool
+	// retryAt is when a failed write is tried again.
+	retryAt time.Time
 }
 
 // NewWorker returns a worker that does nothing until Run is called.
@@ -139,7 +143,7 @@
 func (w *Worker) writeRow(ctx context.Context, now time.Time) {
 	cut := !w.options.Table.CutSince(now).IsZero()
 	isDue := w.wroteAt.IsZero() || now.Sub(w.wroteAt) >= refreshInterval || cut != w.wroteCut && now.Sub(w.wroteAt) >= minWriteInterval
-	if w.options.Self.URL == "" || !isDue {
+	if w.options.Self.URL == "" || !isDue || now.Before(w.retryAt) {
 		return
 	}
 	r := row{URL: w.options.Self.URL, Zone: w.options.Self.Zone, Start: w.options.Self.Start, Cut: cut, At: now.Unix()}
@@ -148,6 +152,7 @@
 		if ctx.Err() == nil {
 			w.options.Log.Warn().Err(err).Msg(event.ReachWriteFailed)
 		}
+		w.retryAt = time.Now().Add(writeRetryDelay)
 		return
 	}
 	w.wroteAt, w.wroteCut = now, cut
