forward: names in the relay that need no explaining

Cause: short names and a closure in the middle of a function.

Change: names; the check whether a connection is open is a method.

Measured: go test -race ./internal/forward passes.

Conclusion: reads better, same behaviour.

--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -94,6 +94,16 @@
 	return o
 }
 
+// isOpen reports whether the connection is open already.
+func (o *opening) isOpen() bool {
+	select {
+	case <-o.done:
+		return o.err == nil
+	default:
+		return false
+	}
+}
+
 // keep puts a connection that is not needed any more into the pool once it is open.
 func (o *opening) keep() {
 	go func() {
@@ -117,15 +127,7 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	isOpen := func() bool {
-		select {
-		case <-o.done:
-			return o.err == nil
-		default:
-			return false
-		}
-	}
-	if !isOpen() && ctx.Err() == nil && !triedPeers {
+	if !o.isOpen() && ctx.Err() == nil && !triedPeers {
 		if response, err, tried := c.relay(request, pool); tried {
 			o.keep()
 			return nil, response, err
@@ -223,9 +225,9 @@
 		return nil, false
 	}
 	relayed := *request
-	u := *request.URL
-	u.Scheme, u.Host = base.Scheme, base.Host
-	relayed.URL = &u
+	relayedURL := *request.URL
+	relayedURL.Scheme, relayedURL.Host = base.Scheme, base.Host
+	relayed.URL = &relayedURL
 	if relayed.Host == "" {
 		relayed.Host = request.URL.Host
 	}
@@ -238,8 +240,8 @@
 		relayed.Body, err = request.GetBody()
 		return &relayed, err == nil
 	}
-	u2, ok := request.Body.(*upload)
-	return &relayed, ok && !u2.readStarted.Load()
+	body, isUpload := request.Body.(*upload)
+	return &relayed, isUpload && !body.readStarted.Load()
 }
 
 // sendToPeer sends a request to another instance, and returns the target's response or why there is none.
