forward: part of a streamed body is not sent as the whole

What callers could see: a request with a long or chunked body, sent by an instance whose links are cut, could reach the target with a part of its body.

Cause, found by reading the change: another instance may refuse a request when a part of the body has been read already; the request then went to the next instance, or directly, with what was left of the body.

Change: such a request ends as not run.

Conclusion: a body is sent whole or not at all.

--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -150,23 +150,26 @@
 func (c *client) relay(request *http.Request, pool *targetPool) (*http.Response, *sendError, bool) {
 	var deniedBy []reach.Peer
 	for _, peer := range c.reach.Peers(pool.url, time.Now()) {
-		relayed, ok := relayedRequest(request, pool.url, peer.URL)
-		if !ok || request.Context().Err() != nil {
+		if request.Context().Err() != nil || isBodyUsed(request) {
 			break
 		}
+		relayed, err := relayedRequest(request, pool.url, peer.URL)
+		if err != nil {
+			continue
+		}
 		sentAt := time.Now()
-		response, failure, err := c.sendToPeer(relayed, peer)
-		c.countRelay(failure, err)
+		response, failure, sendErr := c.sendToPeer(relayed, peer)
+		c.countRelay(failure, sendErr)
 		switch {
-		case err != nil && err.mayHaveRun():
+		case sendErr != nil && sendErr.mayHaveRun():
 			if time.Since(sentAt) >= reach.SilentAfter {
 				// The instance or the target hangs. A new connection shows whether it is the instance.
 				c.closeIdleTo(peer.URL)
 			}
-			return nil, err, true
-		case err != nil && request.Context().Err() != nil:
+			return nil, sendErr, true
+		case sendErr != nil && request.Context().Err() != nil:
 			// The caller has left.
-		case err != nil, failure == relayCut:
+		case sendErr != nil, failure == relayCut:
 			c.reach.PeerUnusable(peer.Name, time.Now())
 		case failure == relayBusy:
 			c.reach.PeerBusy(peer.Name, time.Now())
@@ -191,9 +194,18 @@
 		c.reach.Denied(pool.url, time.Now())
 		return nil, &sendError{stage: stageConnect, cause: errNotReached}, true
 	}
+	if isBodyUsed(request) {
+		return nil, &sendError{stage: stageUnsent, cause: errNotReached}, true
+	}
 	return nil, nil, false
 }
 
+// isBodyUsed reports whether a part of a streamed body was read, so that it cannot be sent again.
+func isBodyUsed(request *http.Request) bool {
+	body, ok := request.Body.(*upload)
+	return ok && body.readStarted.Load()
+}
+
 // closeIdleTo closes the idle connections to a URL.
 func (c *client) closeIdleTo(raw string) {
 	if pool, err := c.pool(raw); err == nil {
@@ -218,11 +230,11 @@
 	c.observeRelay("out", result)
 }
 
-// relayedRequest returns the request to another instance. It returns false if the body cannot be sent again.
-func relayedRequest(request *http.Request, targetURL, peerURL string) (*http.Request, bool) {
+// relayedRequest returns the request to another instance.
+func relayedRequest(request *http.Request, targetURL, peerURL string) (*http.Request, error) {
 	base, err := url.Parse(peerURL)
 	if err != nil {
-		return nil, false
+		return nil, errors.WithStack(err)
 	}
 	relayed := *request
 	relayedURL := *request.URL
@@ -233,15 +245,10 @@
 	}
 	relayed.Header = request.Header.Clone()
 	relayed.Header.Set(relayTargetHeader, targetURL)
-	if request.Body == nil || request.Body == http.NoBody {
-		return &relayed, true
-	}
 	if request.GetBody != nil {
 		relayed.Body, err = request.GetBody()
-		return &relayed, err == nil
 	}
-	body, isUpload := request.Body.(*upload)
-	return &relayed, isUpload && !body.readStarted.Load()
+	return &relayed, errors.WithStack(err)
 }
 
 // sendToPeer sends a request to another instance, and returns the target's response or why there is none.
--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -24,6 +24,8 @@
 	cut    *Forwarder
 	target *httptest.Server
 	isCut  atomic.Bool
+	// refusesLate is set while the other instance refuses requests after it has read a part of the body.
+	refusesLate atomic.Bool
 	// hangs is set while the other instance has no power.
 	hangs atomic.Bool
 	// passed counts requests that reached the other instance.
@@ -37,6 +39,11 @@
 	pass := other.RelayHandler(RelayOptions{IsTarget: func(url string) bool { return url == p.target.URL }})
 	relay := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		p.passed.Add(1)
+		if p.refusesLate.Load() {
+			_, _ = r.Body.Read(make([]byte, 1))
+			other.client.refuseRelay(w, relayBusy)
+			return
+		}
 		pass.ServeHTTP(w, r)
 	}))
 	t.Cleanup(relay.Close)
@@ -157,6 +164,33 @@
 	}
 }
 
+// Guards against the rest of a streamed body that is sent to the target as the whole, after another instance had refused the
+// request with a part of the body read.
+func TestPartOfABodyIsNotSent(t *testing.T) {
+	const size = 64 << 10
+	p := newRelayPair(t, func(w http.ResponseWriter, r *http.Request) {
+		if body, _ := io.ReadAll(r.Body); r.Method == http.MethodPut && len(body) != size {
+			t.Errorf("the target got %d bytes of %d", len(body), size)
+		}
+	})
+	p.isCut.Store(true)
+	if _, err := p.cut.Send(p.request(t.Context(), "GET", nil), p.target.URL); err != nil {
+		t.Fatal(err)
+	}
+	p.isCut.Store(false)
+	p.refusesLate.Store(true)
+	for range 20 {
+		caller := httptest.NewRequest(http.MethodPut, "/path/x", io.LimitReader(zeros{}, size))
+		caller.ContentLength = -1
+		request := p.request(t.Context(), http.MethodPut, nil)
+		request.GetBody, request.ContentLength = nil, -1
+		request.Body = newUpload(caller, func(http.Header) {}, func(time.Time) error { return nil })
+		if response, err := p.cut.Send(request, p.target.URL); err == nil {
+			_ = response.Body.Close()
+		}
+	}
+}
+
 // hangingConn loses what is written once its pair hangs.
 type hangingConn struct {
 	net.Conn
