--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -168,7 +168,7 @@
 // request with a part of the body read.
 func TestPartOfABodyIsNotSent(t *testing.T) {
 	const size = 64 << 10
-	p := newRelayPair(t, func(w http.ResponseWriter, r *http.Request) {
+	p := newRelayPair(t, func(_ http.ResponseWriter, r *http.Request) {
 		if body, _ := io.ReadAll(r.Body); r.Method == http.MethodPut && len(body) != size {
 			t.Errorf("the target got %d bytes of %d", len(body), size)
 		}
