reach, forward, checklogs: state and steps that stood twice

Cause, found by reading the whole change: a request locked the table twice, once to ask whether there are other instances and once for the way; the probes took the lock before a function that takes it; the context of a request was built by hand in four places; three checks of logs sorted their lines and two computed the start of a request by themselves; the versions of a service were listed by a written-out iterator.

Change: a way says that there are no other instances, so HasPeers and its flag are gone; one function each for the rest. TestWay adds another instance to its table, since without one every way is direct; its expectations are the same.

Conclusion: same behaviour, fewer parts.

--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -222,9 +222,9 @@
 	if err := ctx.Err(); err != nil {
 		return nil, &sendError{stage: stageConnect, cause: context.Cause(ctx)}
 	}
-	way, mayRelay := reach.Way{UseIdle: true}, false
-	if c.reach.HasPeers() && !sendOptionsOf(ctx).directOnly {
-		way, mayRelay = c.reach.Way(pool.url, time.Now()), true
+	way := reach.Direct
+	if !sendOptionsOf(ctx).directOnly {
+		way = c.reach.Way(pool.url, time.Now())
 	}
 	if way.UseIdle {
 		if connection := pool.get(); connection != nil {
@@ -236,7 +236,7 @@
 			return response, err
 		}
 	}
-	if mayRelay && !way.NoPeers {
+	if !way.NoPeers {
 		connection, response, err := c.openOrRelay(request, pool, way.ViaPeer)
 		if connection == nil {
 			return response, err
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -72,9 +72,13 @@
 	return options
 }
 
+func withSendOptions(ctx context.Context, options sendOptions) context.Context {
+	return context.WithValue(ctx, sendOptionsKey{}, options)
+}
+
 // DirectOnly returns a context whose requests never pass through another instance.
 func DirectOnly(ctx context.Context) context.Context {
-	return context.WithValue(ctx, sendOptionsKey{}, sendOptions{directOnly: true})
+	return withSendOptions(ctx, sendOptions{directOnly: true})
 }
 
 // opening is a connection that is being opened.
@@ -259,7 +263,7 @@
 	}
 	connection, isReused := pool.get(), true
 	if connection == nil {
-		ctx := context.WithValue(request.Context(), sendOptionsKey{}, sendOptions{dialTimeout: relayDialTimeout})
+		ctx := withSendOptions(request.Context(), sendOptions{dialTimeout: relayDialTimeout})
 		if connection, err = c.dial(ctx, pool); err != nil {
 			return nil, "", &sendError{stage: stageConnect, cause: err}
 		}
@@ -378,7 +382,7 @@
 	if err != nil {
 		return relayUnknown
 	}
-	connection, err := c.dial(context.WithValue(ctx, sendOptionsKey{}, sendOptions{dialTimeout: relayDialTimeout}), pool)
+	connection, err := c.dial(withSendOptions(ctx, sendOptions{dialTimeout: relayDialTimeout}), pool)
 	if err != nil {
 		return relayUnreachable
 	}
@@ -423,7 +427,7 @@
 		},
 	}
 	plain := &Plain{options: options, client: f.client}
-	ctx := context.WithValue(r.Context(), sendOptionsKey{}, sendOptions{directOnly: true, dialTimeout: relayDialTimeout})
+	ctx := withSendOptions(r.Context(), sendOptions{directOnly: true, dialTimeout: relayDialTimeout})
 	plain.ServePlain(w, r.WithContext(ctx), Call{
 		RequestID: r.Header.Get(options.Dialect.RequestIDHeader), Path: strings.TrimPrefix(r.URL.EscapedPath(), base.EscapedPath()), Attempts: 1,
 		Report: func(report Report) {
--- a/internal/reach/peers.go
+++ b/internal/reach/peers.go
@@ -62,16 +62,6 @@
 	delete(t.peers, name)
 }
 
-// HasPeers reports whether other instances are known.
-func (t *Table) HasPeers() bool {
-	if t == nil {
-		return false
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return len(t.peers) > 0
-}
-
 // Peers returns the instances through which a request for a target should go, the best first. The same target goes through the
 // same instance, which then has a connection to it; an instance in this zone is preferred. The others are in other zones, since
 // a zone may be cut as a whole.
--- a/internal/reach/table.go
+++ b/internal/reach/table.go
@@ -66,7 +66,7 @@
 	UseIdle bool
 	// ViaPeer means that a new connection would probably fail, so that another instance goes first.
 	ViaPeer bool
-	// NoPeers means that other instances did not reach the target a moment ago.
+	// NoPeers means that there are no other instances, or that they did not reach the target a moment ago.
 	NoPeers bool
 }
 
@@ -207,10 +207,19 @@
 	t.cutSince = l.openFailedSince
 }
 
+// Direct is the way without other instances.
+var Direct = Way{UseIdle: true, NoPeers: true}
+
 // Way returns how a request should reach a target.
 func (t *Table) Way(target string, now time.Time) Way {
+	if t == nil {
+		return Direct
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if len(t.peers) == 0 {
+		return Direct
+	}
 	l := t.get(target, now)
 	switch {
 	case l.isCut():
@@ -260,10 +269,7 @@
 // TakeCut returns up to limit targets whose links should be tried again now because they are cut, or because all seem to be, those
 // first that were tried longest ago.
 func (t *Table) TakeCut(limit int, now time.Time) []string {
-	t.mu.Lock()
-	allSeemCut := !t.cutSince.IsZero()
-	t.mu.Unlock()
-	isWanted := func(l *link) bool { return l.isCut() || allSeemCut }
+	isWanted := func(l *link) bool { return l.isCut() || !t.cutSince.IsZero() }
 	return t.take(limit, now, isWanted, func(*link) time.Duration { return probeInterval })
 }
 
@@ -273,6 +279,7 @@
 	return t.take(limit, now, isUnexplained, func(l *link) time.Duration { return min(askInterval<<min(l.denials, 8), maxAskInterval) })
 }
 
+// take returns targets whose links match and were tried at least an interval ago. It calls the functions with the lock held.
 func (t *Table) take(limit int, now time.Time, matches func(*link) bool, interval func(*link) time.Duration) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/reach/table_test.go
+++ b/internal/reach/table_test.go
@@ -81,6 +81,7 @@
 		{"reached by others before it failed here", func(t *Table) { t.Relayed("a", at(0)); t.OpenFailed("a", at(10), at(400)) }, direct, direct, false},
 	} {
 		table := NewTable("z")
+		table.SetPeer(Peer{Name: "other"})
 		tc.events(table)
 		if a, b, cut := table.Way("a", at(1000)), table.Way("b", at(1000)), !table.CutSince(at(1000)).IsZero(); a != tc.a || b != tc.b || cut != tc.cut {
 			t.Errorf("%s: %+v and %+v, cut %v", tc.name, a, b, cut)
--- a/internal/streams/table.go
+++ b/internal/streams/table.go
@@ -72,18 +72,9 @@
 // current returns the versions that may have begun a stream that is still taken up, sorted.
 func (v *versions) current(now time.Time) []string {
 	maps.DeleteFunc(v.formerly, func(_ string, lastListed time.Time) bool { return now.Sub(lastListed) > mixedFor })
-	return slices.Sorted(func(yield func(string) bool) {
-		for software := range v.listed {
-			if !yield(software) {
-				return
-			}
-		}
-		for software := range v.formerly {
-			if !yield(software) {
-				return
-			}
-		}
-	})
+	all := slices.AppendSeq(slices.Collect(maps.Keys(v.listed)), maps.Keys(v.formerly))
+	slices.Sort(all)
+	return all
 }
 
 // NewTable returns a table without streams.
--- a/tools/checklogs/leaving.go
+++ b/tools/checklogs/leaving.go
@@ -15,8 +15,7 @@
 // checkLeaving counts the requests that an instance sent to a target later than drainTime after the target had told it that it
 // leaves. A new process knows nothing of that.
 func checkLeaving(lines []line) []string {
-	sorted := slices.Clone(lines)
-	slices.SortStableFunc(sorted, func(a, b line) int { return a.at.Compare(b.at) })
+	sorted := inOrder(lines)
 	type pair struct{ instance, target string }
 	toldAt, late := map[pair]time.Time{}, map[pair]int{}
 	for _, l := range sorted {
--- a/tools/checklogs/limits.go
+++ b/tools/checklogs/limits.go
@@ -78,8 +78,7 @@
 			return map[string]time.Time{target: l.at}
 		}
 	case event.RequestEnded:
-		elapsed, _ := strconv.ParseFloat(l.fields["elapsed"], 64)
-		at := l.at.Add(-time.Duration(elapsed * float64(time.Millisecond)))
+		at := startOf(l)
 		targets := map[string]time.Time{}
 		for failed := range strings.SplitSeq(l.fields["failed"], ",") {
 			if target, _, ok := strings.Cut(failed, ":"); ok {
--- a/tools/checklogs/links.go
+++ b/tools/checklogs/links.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
-	"strconv"
 	"time"
 
 	"github.com/egretspar/egretspar/internal/event"
@@ -34,8 +32,7 @@
 // checkLinks compares, for the time in which some instances had lost their links to targets, how many requests of callers
 // targets answered there and at the other instances. Requests that the configuration refuses are not counted.
 func checkLinks(lines []line) []string {
-	sorted := slices.Clone(lines)
-	slices.SortStableFunc(sorted, func(a, b line) int { return a.at.Compare(b.at) })
+	sorted := inOrder(lines)
 	lostSince := map[string]time.Time{}
 	var lost, others, all tally
 	var findings []string
@@ -52,8 +49,7 @@
 		instance := l.fields["instance"]
 		switch l.fields["event"] {
 		case event.LinksLost:
-			ms, _ := strconv.ParseFloat(l.fields["lost_for"], 64)
-			lostSince[instance] = l.at.Add(-time.Duration(ms * float64(time.Millisecond)))
+			lostSince[instance] = l.at.Add(-milliseconds(l, "lost_for"))
 			begin = l.at
 		case event.LinksRestored, event.Started:
 			if _, ok := lostSince[instance]; ok {
@@ -63,8 +59,7 @@
 		case event.RequestEnded:
 			served := l.fields["outcome"] == "ran"
 			all.add(served)
-			elapsed, _ := strconv.ParseFloat(l.fields["elapsed"], 64)
-			sentAt := l.at.Add(-time.Duration(elapsed * float64(time.Millisecond)))
+			sentAt := startOf(l)
 			since, isLost := lostSince[instance]
 			switch {
 			case isLost && sentAt.After(since.Add(linksGrace)):
--- a/tools/checklogs/main.go
+++ b/tools/checklogs/main.go
@@ -47,6 +47,22 @@
 	}
 }
 
+// inOrder returns the lines in the order of their times.
+func inOrder(lines []line) []line {
+	sorted := slices.Clone(lines)
+	slices.SortStableFunc(sorted, func(a, b line) int { return a.at.Compare(b.at) })
+	return sorted
+}
+
+// startOf returns when the request of a line began that tells its end.
+func startOf(l line) time.Time { return l.at.Add(-milliseconds(l, "elapsed")) }
+
+// milliseconds returns a field that holds a duration in milliseconds; 0 without one.
+func milliseconds(l line, field string) time.Duration {
+	ms, _ := strconv.ParseFloat(l.fields[field], 64)
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
 func readFiles(names []string) ([]line, error) {
 	var all []line
 	for _, name := range names {
--- a/tools/checklogs/waits.go
+++ b/tools/checklogs/waits.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/egretspar/egretspar/internal/event"
@@ -14,8 +13,7 @@
 // checkWaits finds items whose run ended without the whole text, and that did not run again within maxItemWait although their
 // owner still ran the job.
 func checkWaits(lines []line) []string {
-	sorted := slices.Clone(lines)
-	slices.SortStableFunc(sorted, func(a, b line) int { return a.at.Compare(b.at) })
+	sorted := inOrder(lines)
 	waiting := map[string]line{}
 	var findings []string
 	end := func(item string, at time.Time) {
