--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -64,7 +64,7 @@
 	observeResponse func(request *http.Request, response *http.Response, sentAt time.Time)
 	// reach learns which targets are reached; it may be nil.
 	reach *reach.Table
-	// observeRelay counts requests that pass through another instance; it may be nil.
+	// observeRelay counts requests that pass through another instance.
 	observeRelay func(direction, result string)
 	// pools maps the URL of each target to its *targetPool.
 	pools sync.Map
@@ -83,6 +83,9 @@
 		tlsConfig = &tls.Config{MinVersion: tls.VersionTLS12}
 	}
 	c := &client{limits: options.Limits, requestIDHeader: options.Dialect.RequestIDHeader, observeResponse: options.Dialect.ObserveResponse, reach: options.Reach, observeRelay: options.ObserveRelay}
+	if c.observeRelay == nil {
+		c.observeRelay = func(string, string) {}
+	}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	c.transport = &http.Transport{
--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -36,7 +36,7 @@
 	p := &relayPair{target: httptest.NewServer(handler)}
 	t.Cleanup(p.target.Close)
 	other := New(Options{Limits: DefaultLimits(), Reach: reach.NewTable("b")})
-	pass := other.RelayHandler(RelayOptions{IsTarget: func(url string) bool { return url == p.target.URL }})
+	pass := other.RelayHandler(func(url string) bool { return url == p.target.URL })
 	relay := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		p.passed.Add(1)
 		if p.refusesLate.Load() {
@@ -157,7 +157,7 @@
 		// The instance that is cut knows another one, to which it must not pass the request on.
 		r, w := httptest.NewRequest("GET", "/", nil), httptest.NewRecorder()
 		r.Header.Set(relayTargetHeader, p.target.URL)
-		p.cut.RelayHandler(RelayOptions{IsTarget: func(string) bool { return isTarget }}).ServeHTTP(w, r)
+		p.cut.RelayHandler(func(string) bool { return isTarget }).ServeHTTP(w, r)
 		if got := w.Header().Get(relayErrorHeader); got != string(want) || p.passed.Load() != 0 {
 			t.Errorf("target %v: %q, %d requests passed on again", isTarget, got, p.passed.Load())
 		}
