lease: the test of an abstaining holder waits until its send runs

Cause, traced: the test began the send on a goroutine and made the holder abstain without waiting for it. When the holder's next renewal was due at the same moment of the fake clock and ran first, the send was refused, as it must be, and the lease was released at once, since no send was running. The product did what it should; the test had not set up its case.

Change: the test waits until the send runs, and reports a send that is refused. Its checks are the same.

Conclusion: a fault of the test, not of load; the check is as strict as before.

--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -300,10 +300,18 @@
 		if !held(first) {
 			t.Fatal("the first candidate does not hold the lease")
 		}
-		sending := make(chan struct{})
+		began, sending := make(chan struct{}), make(chan struct{})
 		wg.Go(func() {
-			_ = first.Guard(ctx, func(context.Context, int64) error { <-sending; return nil })
+			err := first.Guard(ctx, func(context.Context, int64) error {
+				close(began)
+				<-sending
+				return nil
+			})
+			if err != nil {
+				t.Errorf("guard: %v", err)
+			}
 		})
+		<-began
 		abstain.Store(true)
 		time.Sleep(1500 * time.Millisecond)
 		if held(first) || held(second) {
