batch: a job is not started from an outdated row

While the store is slow, the owner of six jobs is killed and the trainers end the jobs; 200 items of the ended jobs begin to run during the 25 s after, and nothing would have stopped them before the rows are removed.

Cause: an instance commits its takeover, reads items and results for a second, and then starts the job from the row that it wrote. The end, which the feed showed meanwhile, found no running job to stop, and is not shown again. Accept had the same gap between its commit and the response; and the feed made an instance "take over" its own job beside Accept, which started a job that ended soon after once more. Ruled out: a late feed (the runs would stop), an overwritten end (the row says ended).

Change: a job is registered under the lock that changes of rows take, and only if its newest row is open and names this instance. Takeover and Accept record their own row first; a job that Accept stores is not taken over by its process. The log says "job not started" with both revisions.

Conclusion: whoever comes later, the change or the start, sees the other.

--- a/internal/batch/accept.go
+++ b/internal/batch/accept.go
@@ -42,6 +42,9 @@
 		Team: job.Team, Route: job.Route, Model: job.Model, Step: job.Step, Total: len(job.Items),
 		Owner: s.chooseOwner(job), Term: 1, Submitted: job.Submitted.UnixMilli(),
 	}
+	// The feed may show the row before the commit responds, or after a response that is lost: then watchOwners starts the job.
+	s.setStarting(job.ID, true)
+	defer s.setStarting(job.ID, false)
 	revision, err := s.createRow(ctx, job.ID, r, items)
 	if errors.Is(err, api.ErrConflict) {
 		return s.checkExistingJob(ctx, job)
@@ -49,10 +52,10 @@
 	if err != nil {
 		return err
 	}
+	s.applyRow(job.ID, r, revision, s.options.Now())
 	if r.Owner != s.options.Instance {
 		// The owner starts the job when its feed shows the row.
 		s.cache.put(job)
-		s.applyRow(job.ID, r, revision, s.options.Now())
 		s.options.Log.Info().Str("job", job.ID).Str("owner", r.Owner).Int("step", job.Step).Msg(event.JobAssigned)
 		return nil
 	}
@@ -60,6 +63,17 @@
 	return nil
 }
 
+// setStarting marks a job that no other task of this instance may start.
+func (s *Service) setStarting(id string, starting bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !starting {
+		delete(s.starting, id)
+		return
+	}
+	s.starting[id] = true
+}
+
 // isAccepted reports whether the job's row is in memory, with ErrOtherTeam if the job belongs to another team.
 func (s *Service) isAccepted(job *Job) (bool, error) {
 	s.mu.Lock()
--- a/internal/batch/fake_test.go
+++ b/internal/batch/fake_test.go
@@ -284,6 +284,8 @@
 	*fakeStore
 	mu      sync.Mutex
 	blocked bool
+	// readLatency and responseLatency are how much longer reads of lists and objects take, and responses to commits.
+	readLatency, responseLatency time.Duration
 }
 
 func (c *storeLink) setBlocked(blocked bool) {
@@ -303,9 +305,15 @@
 		<-ctx.Done()
 		return 0, api.ErrEffectUnknown
 	}
+	defer time.Sleep(c.responseLatency)
 	return c.fakeStore.Commit(ctx, txn)
 }
 
+func (c *storeLink) Range(ctx context.Context, prefix, from string, limit int) ([]api.Row, bool, error) {
+	time.Sleep(c.readLatency)
+	return c.fakeStore.Range(ctx, prefix, from, limit)
+}
+
 func (c *storeLink) Changes(ctx context.Context, table string, after int, wait time.Duration) (api.Changes, error) {
 	if c.isBlocked() {
 		time.Sleep(wait)
--- a/internal/batch/owned.go
+++ b/internal/batch/owned.go
@@ -33,7 +33,8 @@
 	textLoaded bool
 }
 
-// startJob starts to run a job. listed holds the results that are in the list already.
+// startJob starts to run a job whose row this instance wrote with a revision, unless the job has ended, got another owner or
+// was removed since. listed holds the results that are in the list already.
 func (s *Service) startJob(job *Job, r jobRecord, revision int, listed []Result) {
 	ctx, cancel := context.WithCancel(s.taskCtx)
 	o := &ownedJob{
@@ -41,17 +42,10 @@
 		record: r, revision: revision, progress: newProgress(job),
 	}
 	o.progress.applyListed(listed)
-	s.mu.Lock()
-	if s.owned[job.ID] != nil {
-		s.mu.Unlock()
+	if !s.register(o) {
 		cancel()
 		return
 	}
-	s.owned[job.ID] = o
-	if row, ok := s.rows[job.ID]; !ok || row.revision < revision {
-		s.rows[job.ID] = jobRow{jobRecord: r, revision: revision, ownerSeenAt: s.options.Now()}
-	}
-	s.mu.Unlock()
 	s.options.Log.Info().Str("job", job.ID).Str("model", job.Model).Int("step", job.Step).Int("term", r.Term).
 		Int("items", len(job.Items)).Int("listed", len(listed)).Int("min_version", job.MinVersion).Msg(event.JobStarted)
 	s.tasks.Go(o.loadTexts)
@@ -61,6 +55,24 @@
 	s.Wake()
 }
 
+// register adds a job to those that this instance runs if its newest row allows it. From then on applyRow and dropRow stop it.
+func (s *Service) register(o *ownedJob) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.owned[o.job.ID] != nil {
+		return false
+	}
+	row, ok := s.rows[o.job.ID]
+	if !ok || row.Ended || row.Owner != s.options.Instance {
+		s.options.Log.Info().Str("job", o.job.ID).Int("revision", o.revision).Int("newest", row.revision).Bool("ended", row.Ended).
+			Str("owner", row.Owner).Msg(event.JobNotStarted)
+		return false
+	}
+	o.revision = max(o.revision, row.revision)
+	s.owned[o.job.ID] = o
+	return true
+}
+
 // loadTexts loads the stored texts that items can continue: those of the job's former owner and those of earlier jobs
 // of the same route.
 func (o *ownedJob) loadTexts() {
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -100,8 +100,8 @@
 	owned map[string]*ownedJob
 	// pools holds the placement pools, by model.
 	pools map[string]*placement.Pool
-	// takingOver marks jobs whose takeover is in progress.
-	takingOver map[string]bool
+	// starting marks jobs that a takeover or Accept is about to start.
+	starting map[string]bool
 	// rewardLimiters limits the concurrent reward calls, by service.
 	rewardLimiters map[string]*reward.Limiter
 	// wake triggers the next round of placement, rewardWake the next round of reward calls.
@@ -139,7 +139,7 @@
 	s := &Service{
 		options: options,
 		rows:    map[string]jobRow{}, lastHeartbeat: map[string]time.Time{}, owned: map[string]*ownedJob{},
-		pools: map[string]*placement.Pool{}, takingOver: map[string]bool{},
+		pools: map[string]*placement.Pool{}, starting: map[string]bool{},
 		rewardLimiters: map[string]*reward.Limiter{}, heartbeatSlot: make(chan struct{}, 1),
 		wake: make(chan struct{}, 1), rewardWake: make(chan struct{}, 1), cache: newJobCache(),
 	}
@@ -204,7 +204,7 @@
 	}
 	s.rows[id] = row
 	owned := s.owned[id]
-	needsTakeover := owned == nil && r.Owner == s.options.Instance && !r.Ended && !s.takingOver[id] && !s.draining
+	needsTakeover := owned == nil && r.Owner == s.options.Instance && !r.Ended && !s.starting[id] && !s.draining
 	s.mu.Unlock()
 	if owned != nil && (r.Ended || r.Owner != s.options.Instance) {
 		owned.stop(r)
--- a/internal/batch/takeover.go
+++ b/internal/batch/takeover.go
@@ -154,7 +154,7 @@
 	}
 	orphaned := map[string]jobRow{}
 	for id, row := range s.rows {
-		if row.Ended || s.owned[id] != nil || s.takingOver[id] {
+		if row.Ended || s.owned[id] != nil || s.starting[id] {
 			continue
 		}
 		lastHeartbeat, hasHeartbeat := s.lastHeartbeat[row.Owner]
@@ -203,11 +203,11 @@
 // startTakeover takes over a job in the background.
 func (s *Service) startTakeover(id string, row jobRow) {
 	s.mu.Lock()
-	if s.takingOver[id] || s.owned[id] != nil {
+	if s.starting[id] || s.owned[id] != nil {
 		s.mu.Unlock()
 		return
 	}
-	s.takingOver[id] = true
+	s.starting[id] = true
 	s.mu.Unlock()
 	s.tasks.Go(func() {
 		err := s.takeOver(s.taskCtx, id, row)
@@ -216,13 +216,13 @@
 			wait.Sleep(s.taskCtx, commitBackoff)
 		}
 		s.mu.Lock()
-		delete(s.takingOver, id)
+		delete(s.starting, id)
 		s.mu.Unlock()
 	})
 }
 
 // takeOver makes this instance the owner of a job and starts to run it. Rewriting the job's row prevents further
-// appends by the former owner, so the list is read after it.
+// appends by the former owner, so the list is read after it. Reading may take seconds, in which the job may end.
 func (s *Service) takeOver(ctx context.Context, id string, row jobRow) error {
 	r, revision := row.jobRecord, row.revision
 	if r.Owner != s.options.Instance {
@@ -237,6 +237,7 @@
 			}
 			return err
 		}
+		s.applyRow(id, r, revision, s.options.Now())
 	}
 	s.options.Log.Info().Str("job", id).Str("former", row.Owner).Int("term", r.Term).Int("revision", revision).Msg(event.JobTakenOver)
 	job, err := s.jobWithItems(ctx, id)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -34,6 +34,7 @@
 	JobEndRequested           Name = "job end requested"
 	JobMalformed              Name = "malformed job refused"
 	JobRemoved                Name = "job removed"
+	JobNotStarted             Name = "job not started"
 	JobStarted                Name = "job started"
 	JobStopped                Name = "job stopped"
 	JobSubmitted              Name = "job submitted"
@@ -125,6 +126,7 @@
 	JobEndRequested:           "a caller asked to end a job; `error` if that could not be stored",
 	JobMalformed:              "a submitted job was refused as malformed",
 	JobRemoved:                "an old job was removed with everything stored for it, or not: `error`",
+	JobNotStarted:             "this instance wrote `revision` of the job's row to run it, but by its `newest` revision the job has `ended`, or got another `owner`, or was removed (0)",
 	JobStarted:                "this instance runs the job from now on; `term`, `listed`, `min_version`",
 	JobStopped:                "this instance no longer runs the job; `ended`, new `owner`, `open` items",
 	JobSubmitted:              "a submitted job was accepted, or not: `error`",
