platform: an outdated instance does not join versions of streams

Cause: a stream that an instance does not know could go on anywhere if its list of targets had one version; how old the list was did not matter, only that it had been read once. Ruled out: a late row of the stream (with two versions known, the instance refuses); the age of the list as a measure (a process that stood still has a young list, and a call that was under way when the targets came succeeds after it).

Change: Follower.CatchUp returns after a read that began after it was called; one read serves all callers. A stream that is not known is taken up only after that, else refused with the reason that it had. What two reads overlap is applied once.

Conclusion: absence is concluded only from a list that is newer than the request. Price: two reads per group of such streams, and refusals while the store is away.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -67,6 +67,7 @@
 	StopRequested             Name = "stop requested"
 	Stopped                   Name = "instance stopped"
 	StreamBegan               Name = "stream began"
+	StreamNotResumed          Name = "stream not taken up"
 	StreamsDecodeFailed       Name = "streams not decoded"
 	StreamsWriteFailed        Name = "streams not written"
 	TakeoverFailed            Name = "job not taken over"
@@ -159,6 +160,7 @@
 	StopRequested:             "the process received SIGTERM; `again` says that its graceful shutdown was under way already",
 	Stopped:                   "the process exits",
 	StreamBegan:               "a caller's stream began at `target`, which has the version `software`; with `resumes` it continues that stream after event `after`",
+	StreamNotResumed:          "the version that began the stream `resumes` is not known; with `error`, the store did not say which versions there are",
 	StreamsDecodeFailed:       "a row with the software versions of streams could not be decoded; they cannot be taken up again here while versions are mixed",
 	StreamsWriteFailed:        "other instances do not know yet which software version began some streams; the write is retried",
 	TakeoverFailed:            "a takeover failed and is retried",
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -4,11 +4,14 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
 
 	"github.com/egretspar/egretspar/internal/event"
 	"github.com/egretspar/egretspar/internal/platform/api"
@@ -57,7 +60,7 @@
 type Options struct {
 	Table  string
 	Source Source
-	// Apply receives changed rows in the order of their changes. It is called from one goroutine.
+	// Apply receives changed rows in the order of their changes. Its calls do not overlap.
 	Apply func([]api.Change)
 	Log   zerolog.Logger
 	Now   func() time.Time
@@ -79,8 +82,13 @@
 	// has shrunk since then.
 	recoveryDelay time.Duration
 	hasRecovered  bool
-	// revisions holds the revision of each row in the copy, by key.
+	// mu is held while changes are applied. applied is the revision up to which the copy has all changes, 0 before the first
+	// snapshot. revisions holds the revision of each row in the copy, by key.
+	mu        sync.Mutex
+	applied   int
 	revisions map[string]int
+	// catchUps receives the calls of CatchUp that wait for a read of the changes.
+	catchUps chan chan<- error
 	// lastSuccess is the time of the last successful call by Options.Now, in Unix nanoseconds; 0 means none.
 	lastSuccess atomic.Int64
 	// healthySince is the time of the first successful call since the last failure, in the same unit; 0 while calls
@@ -104,7 +112,7 @@
 	if options.MaxInterval == 0 {
 		options.MaxInterval = defaultMaxInterval
 	}
-	return &Follower{options: options, interval: options.MinInterval, recoveryDelay: minRecoveryDelay, revisions: map[string]int{}}
+	return &Follower{options: options, interval: options.MinInterval, recoveryDelay: minRecoveryDelay, revisions: map[string]int{}, catchUps: make(chan chan<- error)}
 }
 
 // HealthyFor returns how long calls have succeeded without a failure; 0 if the last call failed. An api.ErrThrottled
@@ -128,26 +136,29 @@
 
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
+	var wg conc.WaitGroup
+	wg.Go(func() { f.serveCatchUps(ctx) })
 	for ctx.Err() == nil {
-		revision, err := f.readSnapshot(ctx)
-		if err != nil {
+		if err := f.readSnapshot(ctx); err != nil {
 			f.recordFailure(ctx, err)
 			wait.Sleep(ctx, f.delayAfter(err))
 			continue
 		}
 		f.recordSuccess()
-		f.followFeed(ctx, revision)
+		f.followFeed(ctx)
 	}
+	wg.Wait()
 	return nil
 }
 
-// readSnapshot reads all rows, applies the differences and returns the revision of the snapshot. Rows that are missing
-// from the snapshot were deleted.
-func (f *Follower) readSnapshot(ctx context.Context) (int, error) {
+// readSnapshot reads all rows and applies the differences. Rows that are missing from the snapshot were deleted.
+func (f *Follower) readSnapshot(ctx context.Context) error {
 	rows, revision, err := f.options.Source.Snapshot(ctx, f.options.Table+"/")
 	if err != nil {
-		return 0, err
+		return err
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	listed := make(map[string]bool, len(rows))
 	var changes []api.Change
 	for _, row := range rows {
@@ -162,13 +173,14 @@
 		}
 	}
 	f.applyNewer(changes)
-	return revision, nil
+	f.applied = revision
+	return nil
 }
 
 // followFeed reads and applies changes until the feed no longer has the changes after the last revision.
-func (f *Follower) followFeed(ctx context.Context, revision int) {
+func (f *Follower) followFeed(ctx context.Context) {
 	for ctx.Err() == nil {
-		startedAt := time.Now()
+		startedAt, revision := time.Now(), f.appliedRevision()
 		longPoll := f.options.LongPoll
 		if f.feedLost {
 			// A short call detects soon that the table is available again.
@@ -185,13 +197,26 @@
 			continue
 		}
 		f.recordSuccess()
-		revision = max(revision, changes.Revision)
-		f.applyNewer(changes.Rows)
+		f.applyFeed(changes)
 		wait.Sleep(ctx, f.jitter(f.interval)-time.Since(startedAt))
 	}
 }
 
-// applyNewer passes those changes to Options.Apply that are newer than the copy.
+func (f *Follower) appliedRevision() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.applied
+}
+
+// applyFeed applies what the feed returned, unless a call that began earlier or later has applied it.
+func (f *Follower) applyFeed(changes api.Changes) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.applyNewer(slices.DeleteFunc(changes.Rows, func(c api.Change) bool { return c.Revision <= f.applied }))
+	f.applied = max(f.applied, changes.Revision)
+}
+
+// applyNewer passes those changes to Options.Apply that are newer than the copy. The caller holds the lock.
 func (f *Follower) applyNewer(changes []api.Change) {
 	var newer []api.Change
 	for _, c := range changes {
--- a/internal/streams/worker.go
+++ b/internal/streams/worker.go
@@ -71,6 +71,9 @@
 // Ready reports whether the rows have been read. Until then nothing is known of the streams and versions from before this process.
 func (w *Worker) Ready() bool { return !w.feed.LastSuccess().IsZero() }
 
+// CatchUp returns nil once the table holds everything that had been written when it was called.
+func (w *Worker) CatchUp(ctx context.Context) error { return w.feed.CatchUp(ctx) }
+
 // Run writes and reads rows until ctx ends.
 func (w *Worker) Run(ctx context.Context) error {
 	p := pool.New().WithContext(ctx)
