batch: items run only at the service of their job

After a route has moved from llm-old to llm-new, 66 items of a job that was accepted 2.5 s after the acknowledgement ran at llm-old, because its owner still ran a job from before.

Cause: placement pools were kept by model, and each round gave a pool the engines of the service of whichever owned job came last in the order of a map. Ruled out: an outdated configuration (the runs alternate between both services for as long as both jobs are open) and a lost service (it is stored with the items).

Change: pools are kept by service and model.

Conclusion: jobs of different services share nothing at their owner.

--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -65,11 +65,17 @@
 	})
 }
 
-// setEngines updates the engines in the placement pool of each job's model.
+// poolKey names a placement pool. Services may have models of the same name, and a job's items run at the engines of its service
+// only.
+type poolKey struct{ service, model string }
+
+func (j *Job) poolKey() poolKey { return poolKey{j.Service, j.Model} }
+
+// setEngines updates the engines in the placement pool of each job.
 func (s *Service) setEngines(jobs []*ownedJob, targets []live.Target) {
-	services := map[string]string{}
+	keys := map[poolKey]bool{}
 	for _, o := range jobs {
-		services[o.job.Model] = o.job.Service
+		keys[o.job.poolKey()] = true
 	}
 	engines := map[string][]live.Target{}
 	for _, t := range targets {
@@ -81,7 +87,8 @@
 	config, limited := s.options.View.Config(), s.options.Limits.Limited(time.Now())
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for model, service := range services {
+	for key := range keys {
+		service, model := key.service, key.model
 		if assigned[service] == nil {
 			assigned[service] = s.options.AssignModels(engines[service], serviceModels(config, service))
 		}
@@ -92,7 +99,7 @@
 				Software: t.Software, Limited: limited[t.ID],
 			})
 		}
-		s.poolLocked(model).SetEngines(poolEngines)
+		s.poolLocked(key).SetEngines(poolEngines)
 	}
 }
 
@@ -103,11 +110,11 @@
 	return config.Services[service].Models
 }
 
-func (s *Service) poolLocked(model string) *placement.Pool {
-	p := s.pools[model]
+func (s *Service) poolLocked(key poolKey) *placement.Pool {
+	p := s.pools[key]
 	if p == nil {
 		p = placement.NewPool(s.options.Limits)
-		s.pools[model] = p
+		s.pools[key] = p
 	}
 	return p
 }
@@ -123,7 +130,7 @@
 		// Items start only after stored text is loaded, so that none of it is generated again.
 		return false
 	}
-	pool := s.poolLocked(o.job.Model)
+	pool := s.poolLocked(o.job.poolKey())
 	earlierStepOpen := s.isEarlierStepOpen(o.job)
 	wanted := false
 	for _, item := range append([]*itemState(nil), o.progress.pending...) {
@@ -218,7 +225,7 @@
 	ending := s.options.Runner.Run(ctx, run, func(e Event) error {
 		err := o.appendEvent(item, run.Target.Software, e)
 		if interval, ok := meter.observe(time.Now()); ok {
-			s.recordEventInterval(o.job.Model, run.Target.ID, interval)
+			s.recordEventInterval(o.job.poolKey(), run.Target.ID, interval)
 		}
 		return err
 	})
@@ -243,7 +250,7 @@
 	breaks, wait := item.breaks, item.notBefore.Sub(now)
 	o.mu.Unlock()
 	s.mu.Lock()
-	s.poolLocked(o.job.Model).End(run.Target.ID, item.item.Group, placementResult(ending), now)
+	s.poolLocked(o.job.poolKey()).End(run.Target.ID, item.item.Group, placementResult(ending), now)
 	s.mu.Unlock()
 	if reason != "" {
 		s.options.Counter.CountRetry(reason)
@@ -291,11 +298,11 @@
 	return interval, true
 }
 
-// recordEventInterval reports a measured interval to the placement pool of a model.
-func (s *Service) recordEventInterval(model, engine string, interval time.Duration) {
+// recordEventInterval reports a measured interval to a placement pool.
+func (s *Service) recordEventInterval(key poolKey, engine string, interval time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.poolLocked(model).RecordEventInterval(engine, interval, time.Now())
+	s.poolLocked(key).RecordEventInterval(engine, interval, time.Now())
 }
 
 // ErrVersionNotAllowed ends a run when the engine's weight version does not satisfy the job's MinVersion or
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -98,8 +98,8 @@
 	lastHeartbeat map[string]time.Time
 	// owned holds the jobs that this instance runs, by job ID.
 	owned map[string]*ownedJob
-	// pools holds the placement pools, by model.
-	pools map[string]*placement.Pool
+	// pools holds the placement pools, by service and model.
+	pools map[poolKey]*placement.Pool
 	// starting marks jobs that a takeover or Accept is about to start.
 	starting map[string]bool
 	// rewardLimiters limits the concurrent reward calls, by service.
@@ -139,7 +139,7 @@
 	s := &Service{
 		options: options,
 		rows:    map[string]jobRow{}, lastHeartbeat: map[string]time.Time{}, owned: map[string]*ownedJob{},
-		pools: map[string]*placement.Pool{}, starting: map[string]bool{},
+		pools: map[poolKey]*placement.Pool{}, starting: map[string]bool{},
 		rewardLimiters: map[string]*reward.Limiter{}, heartbeatSlot: make(chan struct{}, 1),
 		wake: make(chan struct{}, 1), rewardWake: make(chan struct{}, 1), cache: newJobCache(),
 	}
