forward: a stream does not end as complete after an engine's error event

Seen, in a test made after a report of other operators: an engine begins a stream of POST /v1/completions and breaks off; the next one responds with an event that holds an error, and the end mark. The caller gets half of the text and [DONE].

Cause: chunks without choices were skipped, whatever else they said. The id check does not help, since it compares events of one response only.

Change: the schema knows the field error, and a chunk with it breaks the attempt.

Evidence: TestErrorOfNextEngineStaysOutOfStream failed before in "error event, then done" and "error with choices" (done true, text "t0 t1 " of "t0 t1 t2 t3 "); its 9 other cases passed before too.

Conclusion: only an end mark after chunks without error ends a stream.

--- a/internal/engine/engine_gen.go
+++ b/internal/engine/engine_gen.go
@@ -28,6 +28,9 @@
 	// Choices corresponds to the JSON schema field "choices".
 	Choices []Choice `json:"choices"`
 
+	// Sent in place of choices by an engine that fails after it has sent the header.
+	Error interface{} `json:"error,omitempty,omitzero"`
+
 	// ID corresponds to the JSON schema field "id".
 	ID string `json:"id"`
 
--- a/internal/forward/chunk.go
+++ b/internal/forward/chunk.go
@@ -36,6 +36,9 @@
 
 func (d *chunkDecoder) validate() error {
 	chunk := &d.chunk
+	if chunk.Error != nil {
+		return errors.Wrap(errProtocol, "engine reported an error in its stream")
+	}
 	if d.id != "" && chunk.ID != d.id {
 		return errors.Wrap(errProtocol, "chunk belongs to another response")
 	}
