forward: a refusal of the next engine does not end a stream that has begun

Seen, in the same test: a stream of POST /v1/completions broke off, the next engine answered 400, 404, 409 or 422, and the stream was given up with an error event (request_invalid), although a third engine was free.

Cause: such a status means that the request itself is at fault and ends it. But an engine had accepted it and generated a part, so it only says that this engine does not go on.

Change: after the first token it counts as an attempt that this engine refused; the limit of attempts without progress stands.

Evidence: the 4 cases of TestErrorOfNextEngineStaysOutOfStream failed before ("t0 t1 ", done false); all 15 pass now, with -race.

Conclusion: whether a request is valid is decided by the first engine that accepts it.

--- a/internal/forward/error_after_break_test.go
+++ b/internal/forward/error_after_break_test.go
@@ -15,8 +15,8 @@
 )
 
 // Guards against a stream that an engine began and another one should continue, but answers with an error: its text must not stand
-// in the stream, and the stream must not end as complete without its rest. An engine that has no room leaves the rest to a third one.
-// Any other failure is the second target that broke under the request, after which it is given up.
+// in the stream, and the stream must not end as complete without its rest. A status that says that the engine does not go on leaves
+// the rest to a third one. Any other failure is the second target that broke under the request, after which it is given up.
 func TestErrorOfNextEngineStaysOutOfStream(t *testing.T) {
 	const fault = "the engine has no memory left"
 	errorEvent := fmt.Sprintf("data: {\"error\":{\"message\":%q,\"code\":500}}\n\n", fault)
@@ -35,6 +35,10 @@
 		second  http.HandlerFunc
 		givenUp bool
 	}{
+		{"400", respond(400, object, errorEvent), false},
+		{"404", respond(404, text, fault), false},
+		{"409", respond(409, text, fault), false},
+		{"422", respond(422, object, `{"error":"`+fault+`"}`), false},
 		{"429", respond(429, text, fault), false},
 		{"503", respond(503, text, fault), false},
 		{"307", respond(307, text, fault), true},
--- a/internal/forward/generator.go
+++ b/internal/forward/generator.go
@@ -153,6 +153,10 @@
 		run.recordAttempt(chosen, elapsed)
 	}()
 	result = classifyError(ctx, g.attempt(ctx, run, chosen))
+	if run.producedTokens > 0 && result.refusal != nil && result.refusal.Reason == outcome.RequestInvalid {
+		// Another engine has accepted the request and generated a part, so the status only says that this one does not go on.
+		result = attemptResult{targetResult: target.Refused, retryReason: outcome.RetryRefused, refusalReason: outcome.ResponseTruncated}
+	}
 	return result
 }
 
