forward: the test of relayed requests shares no connection with a direct one

The direct request now has a forwarder of its own, and the other one is cut from the start. What is compared and counted is the same.

--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -88,10 +88,12 @@
 		w.WriteHeader(http.StatusTeapot)
 		_, _ = io.WriteString(w, "answer")
 	})
-	for _, isCut := range []bool{false, true} {
-		p.isCut.Store(isCut)
-		p.cut.client.closeIdle(0)
-		response, err := p.cut.Send(p.request(t.Context(), "PUT", []byte("body")), p.target.URL)
+	p.isCut.Store(true)
+	// Two forwarders share no open connection, over which the second request could go directly.
+	direct := New(Options{Limits: DefaultLimits(), Reach: reach.NewTable("a")})
+	t.Cleanup(func() { direct.client.closeIdle(0) })
+	for isCut, sender := range map[bool]*Forwarder{false: direct, true: p.cut} {
+		response, err := sender.Send(p.request(t.Context(), "PUT", []byte("body")), p.target.URL)
 		if err != nil {
 			t.Fatal(err)
 		}
