follow: reads for streams that are taken up are bounded at any size

A target that ends under many streams makes up to 200 calls a second at each instance; the store takes 2,000 in all.

Change: two reads for CatchUp are at least 100 ms apart, as those of a feed are when rows change all the time. Callers wait that long at most.

--- a/internal/follow/catch_up.go
+++ b/internal/follow/catch_up.go
@@ -5,10 +5,17 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/egretspar/egretspar/internal/wait"
 )
 
-// shortestLongPoll makes the table respond at once.
-const shortestLongPoll = time.Millisecond
+const (
+	// shortestLongPoll makes the table respond at once.
+	shortestLongPoll = time.Millisecond
+	// catchUpInterval is the shortest time between two reads for callers of CatchUp. However many they are, and at however many
+	// instances, the table gets no more calls from each than its feed makes when rows change all the time.
+	catchUpInterval = defaultMinInterval
+)
 
 // errNoSnapshot reports that the table has not been read yet.
 var errNoSnapshot = errors.New("table has not been read yet")
@@ -32,6 +39,7 @@
 
 // serveCatchUps reads the changes once for all calls of CatchUp that wait, until ctx ends.
 func (f *Follower) serveCatchUps(ctx context.Context) {
+	var lastRead time.Time
 	for {
 		var waiting []chan<- error
 		select {
@@ -40,6 +48,7 @@
 		case result := <-f.catchUps:
 			waiting = append(waiting, result)
 		}
+		wait.Sleep(ctx, catchUpInterval-time.Since(lastRead))
 		for more := true; more; {
 			select {
 			case result := <-f.catchUps:
@@ -48,6 +57,7 @@
 				more = false
 			}
 		}
+		lastRead = time.Now()
 		err := f.readChanges(ctx)
 		for _, result := range waiting {
 			result <- err
--- a/internal/follow/catch_up_test.go
+++ b/internal/follow/catch_up_test.go
@@ -70,6 +70,16 @@
 		if n := source.calls.Load() - calls; n > 3 {
 			t.Errorf("%d calls for 50 callers", n)
 		}
+		// A caller every millisecond, as when a target ends under many streams, must not become as many calls.
+		calls = source.calls.Load()
+		for range 1000 {
+			callers.Go(func() { _ = f.CatchUp(ctx) })
+			time.Sleep(time.Millisecond)
+		}
+		callers.Wait()
+		if n := source.calls.Load() - calls; n > 16 {
+			t.Errorf("%d calls in a second of callers", n)
+		}
 		time.Sleep(2 * time.Second)
 		if applied != 4 || len(copied) != 2 {
 			t.Errorf("%d changes applied, want 4; copy is %v", applied, copied)
