--- a/internal/live/config.go
+++ b/internal/live/config.go
@@ -71,6 +71,16 @@
 	EventTokens int
 	// Scaling is nil for services with a fixed number of targets.
 	Scaling *Scaling
+	// WarmUp is nil for services whose targets take their full load from the start.
+	WarmUp *WarmUp
+}
+
+// WarmUp describes the targets of a service that take few requests for some time after a start.
+type WarmUp struct {
+	// Duration is how long a target warms up.
+	Duration time.Duration
+	// Rate is the number of requests a second that a cold target takes from all instances together.
+	Rate float64
 }
 
 // Scaling limits the number of targets of a service in each zone.
