ownership: small instances run no jobs, and SIGHUP does not end a starting process

Cause: a job's owner was the instance that accepted it, whatever its size; on deployments with instances of 0.144 and 0.8 of a core a small one could own all steps of a trainer. A SIGHUP in the first 15 ms of a process ended it: 20 of 20 starts at each delay from 0.2 to 15 ms. Rows of instances carry their processor time; a small instance leaves a job unassigned, and larger ones take it first. Package earlysignal ignores SIGHUP before the Go runtime starts; only for the command that runs an instance. Result: tests of batch, ownership, reach, event, cmd and platform pass with the race detector. SIGHUP ended 5 of 220 starts on a busy machine, at delays in which the program was not loaded yet. Conclusion: nothing changes where instances are alike.

--- a/cmd/egretspar/main.go
+++ b/cmd/egretspar/main.go
@@ -5,6 +5,8 @@
 	"os"
 
 	"github.com/egretspar/egretspar/internal/cli"
+	// The package takes effect when the process starts.
+	_ "github.com/egretspar/egretspar/internal/earlysignal"
 )
 
 func main() {
--- a/internal/batch/accept.go
+++ b/internal/batch/accept.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/egretspar/egretspar/internal/event"
+	"github.com/egretspar/egretspar/internal/ownership"
 	"github.com/egretspar/egretspar/internal/platform/api"
 	"github.com/egretspar/egretspar/internal/wait"
 )
@@ -56,6 +57,10 @@
 	if r.Owner != s.options.Instance {
 		// The owner starts the job when its feed shows the row.
 		s.cache.put(job)
+		if r.Owner == ownership.Unassigned {
+			s.options.Log.Info().Str("job", job.ID).Int("step", job.Step).Msg(event.JobUnassigned)
+			return nil
+		}
 		s.options.Log.Info().Str("job", job.ID).Str("owner", r.Owner).Int("step", job.Step).Msg(event.JobAssigned)
 		return nil
 	}
--- a/internal/batch/choose_test.go
+++ b/internal/batch/choose_test.go
@@ -8,46 +8,9 @@
 	"time"
 
 	"github.com/egretspar/egretspar/internal/live"
+	"github.com/egretspar/egretspar/internal/ownership"
 )
 
-// Guards against steps that go to a new owner although the previous one runs and has connections to many engines, to one that may be down, and to one that
-// runs other routes too.
-func TestOwnerChoice(t *testing.T) {
-	now := time.Now()
-	row := func(route, model, owner string, step int, ended bool) jobRow {
-		return jobRow{jobRecord: jobRecord{Route: route, Model: model, Owner: owner, Step: step, Ended: ended}}
-	}
-	recent, old := now.Add(-300*time.Millisecond), now.Add(-maxHeartbeatAge-time.Millisecond)
-	cases := []struct {
-		name       string
-		rows       map[string]jobRow
-		heartbeats map[string]time.Time
-		want       string
-	}{
-		{"first step", nil, nil, "self"},
-		{"previous owner runs", map[string]jobRow{"j": row("r", "m", "a", 4, false)}, map[string]time.Time{"a": recent}, "a"},
-		{"previous step has ended", map[string]jobRow{"j": row("r", "m", "a", 4, true)}, map[string]time.Time{"a": recent}, "a"},
-		{"the newest step decides", map[string]jobRow{"i": row("r", "m", "b", 3, false), "j": row("r", "m", "a", 4, false)}, map[string]time.Time{"a": recent, "b": recent}, "a"},
-		{"later steps do not count", map[string]jobRow{"j": row("r", "m", "a", 6, false)}, map[string]time.Time{"a": recent}, "self"},
-		{"no heartbeat for too long", map[string]jobRow{"j": row("r", "m", "a", 4, false)}, map[string]time.Time{"a": old}, "self"},
-		{"no heartbeat yet", map[string]jobRow{"j": row("r", "m", "a", 4, false)}, nil, "self"},
-		{"departed", map[string]jobRow{"j": row("r", "m", "a", 4, false)}, map[string]time.Time{"a": {}}, "self"},
-		{"another model", map[string]jobRow{"j": row("r", "n", "a", 4, false)}, map[string]time.Time{"a": recent}, "self"},
-		{"runs another route", map[string]jobRow{"j": row("r", "m", "a", 4, false), "k": row("s", "m", "a", 1, false)}, map[string]time.Time{"a": recent}, "self"},
-		{"ran another route", map[string]jobRow{"j": row("r", "m", "a", 4, false), "k": row("s", "m", "a", 1, true)}, map[string]time.Time{"a": recent}, "a"},
-	}
-	for _, tc := range cases {
-		c := ownerChoice{self: "self", job: &Job{ID: "new", Route: "r", Model: "m", Step: 5}, rows: tc.rows, lastHeartbeat: tc.heartbeats, engines: minEnginesToKeepOwner, now: now}
-		if got := c.owner(); got != tc.want {
-			t.Errorf("%s: owner %q, want %q", tc.name, got, tc.want)
-		}
-		c.engines--
-		if got := c.owner(); got != "self" {
-			t.Errorf("%s, few engines: owner %q, want self", tc.name, got)
-		}
-	}
-}
-
 // addEngines adds engines to the four of a new cluster until there are n.
 func (c *cluster) addEngines(n int) {
 	for i := 4; i < n; i++ {
@@ -66,7 +29,7 @@
 func TestStepsStayWithTheirOwner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t)
-		c.addEngines(minEnginesToKeepOwner)
+		c.addEngines(ownership.MinEnginesToKeepOwner)
 		var instances []*testInstance
 		for i := range 8 {
 			instances = append(instances, c.start(fmt.Sprint("n", i, "/1")))
@@ -102,7 +65,7 @@
 		limit time.Duration
 	}{
 		{"killed just before", func(n *testInstance) { n.kill() }, 0, 4 * time.Second},
-		{"killed before", func(n *testInstance) { n.kill() }, maxHeartbeatAge + 300*time.Millisecond, 1500 * time.Millisecond},
+		{"killed before", func(n *testInstance) { n.kill() }, ownership.MaxHeartbeatAge + 300*time.Millisecond, 1500 * time.Millisecond},
 		{"cut off from the store", func(n *testInstance) { n.link.setBlocked(true) }, 0, 4 * time.Second},
 		{"drains", func(n *testInstance) { n.Drain(context.Background()) }, 0, 2 * time.Second},
 	}
@@ -110,7 +73,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := newCluster(t)
-				c.addEngines(minEnginesToKeepOwner)
+				c.addEngines(ownership.MinEnginesToKeepOwner)
 				a, b, d := c.start("a/1"), c.start("b/1"), c.start("d/1")
 				defer c.stop(a, b, d)
 				first := newStep(0, 16)
@@ -130,6 +93,43 @@
 	}
 }
 
+// Guards against a small instance that runs the job that it accepted, and against a job that nobody runs when no large instance is
+// left.
+func TestSmallInstanceRunsNoJob(t *testing.T) {
+	for name, tc := range map[string]struct {
+		large bool
+		owner string
+		limit time.Duration
+	}{
+		"a large instance takes the job": {true, "large/1", 900 * time.Millisecond},
+		"only small instances are left":  {false, "small/1", 2000 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t)
+				capacities := ownership.NewCapacityTable("small", 0.2)
+				capacities.SetCapacity("large", 1)
+				c.capacities = capacities
+				small, large := c.start("small/1"), c.start("large/1")
+				defer c.stop(small, large)
+				if !tc.large {
+					large.kill()
+				}
+				job := newStep(0, 8)
+				start := time.Now()
+				accept(t, small, job)
+				c.checkResults(job, c.readAll(small, job))
+				if elapsed := time.Since(start); elapsed > tc.limit+time.Second {
+					t.Errorf("the job took %v", elapsed)
+				}
+				if row, err := small.refreshRow(t.Context(), job.ID); err != nil || row.Owner != tc.owner {
+					t.Errorf("owner %q, error %v, want %s", row.Owner, err, tc.owner)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a heartbeat that is under way when its instance departs and replaces the departure, so that other
 // instances wait for the owner timeout.
 func TestHeartbeatDoesNotReplaceDeparture(t *testing.T) {
@@ -140,7 +140,7 @@
 		accept(t, a, newJob("job", 8))
 		// The heartbeat under way takes effect later than its own timeout and the departure.
 		c.store.withLock(func() { c.store.commitLatency = 200 * time.Millisecond })
-		time.Sleep(heartbeatInterval + 50*time.Millisecond)
+		time.Sleep(ownership.HeartbeatInterval + 50*time.Millisecond)
 		c.store.withLock(func() { c.store.commitLatency = 0 })
 		a.Drain(t.Context())
 		time.Sleep(5 * time.Second)
--- a/internal/batch/fake_test.go
+++ b/internal/batch/fake_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/egretspar/egretspar/internal/live"
 	"github.com/egretspar/egretspar/internal/outcome"
+	"github.com/egretspar/egretspar/internal/ownership"
 	"github.com/egretspar/egretspar/internal/platform/api"
 )
 
@@ -448,9 +449,11 @@
 
 // cluster is a store with instances and four engines, for use in a synctest bubble.
 type cluster struct {
-	t      *testing.T
-	store  *fakeStore
-	runner *fakeRunner
+	// capacities is nil while all instances are alike.
+	capacities ownership.Capacities
+	t          *testing.T
+	store      *fakeStore
+	runner     *fakeRunner
 	// scorer serves the reward calls of all instances.
 	scorer *fakeScorer
 	view   *live.View
@@ -473,7 +476,7 @@
 	n := &testInstance{link: &storeLink{fakeStore: c.store}, kill: cancel}
 	machine, _, _ := strings.Cut(name, "/")
 	n.Service = New(Options{
-		Instance: name, Machine: machine, Store: n.link, Runner: c.runner, View: c.view,
+		Instance: name, Machine: machine, Store: n.link, Runner: c.runner, View: c.view, Capacities: c.capacities,
 		AssignModels: func(targets []live.Target, _ []string) map[string]string {
 			all := map[string]string{}
 			for _, t := range targets {
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -12,6 +12,7 @@
 	"github.com/egretspar/egretspar/internal/follow"
 	"github.com/egretspar/egretspar/internal/live"
 	"github.com/egretspar/egretspar/internal/outcome"
+	"github.com/egretspar/egretspar/internal/ownership"
 	"github.com/egretspar/egretspar/internal/placement"
 	"github.com/egretspar/egretspar/internal/platform/api"
 	"github.com/egretspar/egretspar/internal/reward"
@@ -74,6 +75,8 @@
 	View    *live.View
 	// AssignModels returns, by target ID, the model whose new weights each target loads.
 	AssignModels func(targets []live.Target, models []string) map[string]string
+	// Capacities compares the processor time of instances; nil means that all are alike.
+	Capacities ownership.Capacities
 	// Limits holds the limits that engines name; nil means that there are none.
 	Limits *targetlimit.Table
 	// Rewards and RewardMetrics are needed only for items with reward requests.
@@ -136,6 +139,9 @@
 	if options.Limits == nil {
 		options.Limits = targetlimit.NewTable(options.Instance)
 	}
+	if options.Capacities == nil {
+		options.Capacities = equalCapacities{}
+	}
 	s := &Service{
 		options: options,
 		rows:    map[string]jobRow{}, lastHeartbeat: map[string]time.Time{}, owned: map[string]*ownedJob{},
@@ -247,7 +253,7 @@
 			continue
 		}
 		if received.Departed {
-			// With the zero time, ownerSilence allows an immediate takeover.
+			// The zero time allows an immediate takeover.
 			s.lastHeartbeat[owner] = time.Time{}
 			continue
 		}
--- a/internal/batch/takeover.go
+++ b/internal/batch/takeover.go
@@ -4,34 +4,23 @@
 	"context"
 	"encoding/json"
 	"slices"
-	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	"github.com/egretspar/egretspar/internal/event"
+	"github.com/egretspar/egretspar/internal/ownership"
 	"github.com/egretspar/egretspar/internal/platform/api"
 	"github.com/egretspar/egretspar/internal/wait"
 )
 
-const (
-	// heartbeatInterval is the time between two heartbeats of an owner.
-	heartbeatInterval = 300 * time.Millisecond
-	// ownerTimeout is the time without a heartbeat after which an owner's jobs are taken over: three heartbeat
-	// intervals and the time of a call.
-	ownerTimeout = time.Second
-	// takeoverSpread is the range of delays by which the takeover attempts of different instances differ, so that one
-	// succeeds before the others try.
-	takeoverSpread = 600 * time.Millisecond
-	// ownerCheckInterval is the time between two checks for owners that have timed out.
-	ownerCheckInterval = 100 * time.Millisecond
-)
+// ownerCheckInterval is the time between two checks for owners that have timed out.
+const ownerCheckInterval = 100 * time.Millisecond
 
 // heartbeatLoop writes this instance's heartbeat row while it owns jobs, and for ownerIdleTime after that.
 func (s *Service) heartbeatLoop(ctx context.Context) {
-	for wait.Sleep(ctx, heartbeatInterval) {
+	for wait.Sleep(ctx, ownership.HeartbeatInterval) {
 		s.mu.Lock()
 		needsHeartbeat := s.needsHeartbeatLocked()
 		s.mu.Unlock()
@@ -152,13 +141,20 @@
 	if s.draining {
 		return nil
 	}
+	candidate := ownership.Candidate{
+		Instance: s.options.Instance, Machine: s.options.Machine, IsSmall: s.options.Capacities.IsSmall(s.options.Instance),
+		RunsJobs: len(s.owned) > 0,
+	}
 	orphaned := map[string]jobRow{}
 	for id, row := range s.rows {
 		if row.Ended || s.owned[id] != nil || s.starting[id] {
 			continue
 		}
 		lastHeartbeat, hasHeartbeat := s.lastHeartbeat[row.Owner]
-		if s.mayTakeOver(id, row, ownerSilence(lastRead, lastHeartbeat, hasHeartbeat, row.ownerSeenAt, healthyFor)) {
+		silence := ownership.Silence{
+			LastRead: lastRead, HealthyFor: healthyFor, LastHeartbeat: lastHeartbeat, HasHeartbeat: hasHeartbeat, OwnerSeenAt: row.ownerSeenAt,
+		}
+		if candidate.MayTakeOver(id, row.Owner, silence) {
 			orphaned[id] = row
 		}
 	}
@@ -172,34 +168,6 @@
 	return b
 }
 
-// ownerSilence returns for how long an owner has certainly sent no heartbeat. Time in which this instance could not
-// read the heartbeats does not count: lastRead is the time of the last successful read, and healthyFor is how long reads
-// had succeeded without a failure by then.
-func ownerSilence(lastRead, lastHeartbeat time.Time, hasHeartbeat bool, ownerSeenAt time.Time, healthyFor time.Duration) time.Duration {
-	if hasHeartbeat && lastHeartbeat.IsZero() {
-		// The owner has departed, so any instance may take over at once.
-		return ownerTimeout + takeoverSpread
-	}
-	lastSeen := ownerSeenAt
-	if lastHeartbeat.After(lastSeen) {
-		lastSeen = lastHeartbeat
-	}
-	return min(lastRead.Sub(lastSeen), healthyFor)
-}
-
-// mayTakeOver reports whether this instance may take over a job now, given the silence of its owner.
-func (s *Service) mayTakeOver(id string, row jobRow, silence time.Duration) bool {
-	if row.Owner == s.options.Instance {
-		return true
-	}
-	if machine, _, ok := strings.Cut(row.Owner, "/"); ok && machine == s.options.Machine {
-		// The owner was an earlier process on this machine, which no longer runs.
-		return true
-	}
-	delay := xxhash.Sum64String(id+s.options.Instance) % uint64(takeoverSpread)
-	return silence >= ownerTimeout+time.Duration(delay)
-}
-
 // startTakeover takes over a job in the background.
 func (s *Service) startTakeover(id string, row jobRow) {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/earlysignal/doc_nocgo.go
@@ -0,0 +1,4 @@
+//go:build !cgo
+
+// Package earlysignal does nothing in a build without cgo.
+package earlysignal
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -30,6 +30,7 @@
 	ItemRunStarted            Name = "item run started"
 	ItemsExpired              Name = "items expired"
 	JobAssigned               Name = "job assigned to the owner of the previous step"
+	JobUnassigned             Name = "job left to a larger instance"
 	JobDecodeFailed           Name = "job row not decoded"
 	JobEndRequested           Name = "job end requested"
 	JobMalformed              Name = "malformed job refused"
@@ -123,6 +124,7 @@
 	ItemRunStarted:            "an item was sent to `target`, which has the version `software`, to continue after event `after`; `job`, `item`",
 	ItemsExpired:              "open items passed their deadline and are listed as failed",
 	JobAssigned:               "this instance accepted the job, and `owner` runs it",
+	JobUnassigned:             "this small instance accepted the job; see `job taken over`",
 	JobDecodeFailed:           "a job's row could not be decoded",
 	JobEndRequested:           "a caller asked to end a job; `error` if that could not be stored",
 	JobMalformed:              "a submitted job was refused as malformed",
--- a/internal/reach/peers.go
+++ b/internal/reach/peers.go
@@ -31,6 +31,8 @@
 	Start string
 	// Cut is set while it says that it reaches no targets itself.
 	Cut bool
+	// Cores is its processor time in cores; 0 means unknown.
+	Cores float64
 }
 
 type peer struct {
--- a/internal/reach/worker.go
+++ b/internal/reach/worker.go
@@ -49,13 +49,21 @@
 	AskPeers(ctx context.Context, target string)
 }
 
+// CapacityObserver is told the processor time of the other instances.
+type CapacityObserver interface {
+	SetCapacity(instance string, cores float64)
+	RemoveCapacity(instance string)
+}
+
 // Options configure a Worker. Self is the row of this instance; without a URL it writes none.
 type Options struct {
 	Self   Peer
 	Table  *Table
 	Prober Prober
-	Store  follow.Store
-	Log    zerolog.Logger
+	// Capacities may be nil.
+	Capacities CapacityObserver
+	Store      follow.Store
+	Log        zerolog.Logger
 }
 
 // row is what an instance says about itself. At is the time of the write in Unix seconds.
@@ -65,6 +73,8 @@
 	Start string `json:"start"`
 	Cut   bool   `json:"cut,omitempty"`
 	At    int64  `json:"at"`
+	// Cores is the processor time of the instance in cores; builds before it do not write it.
+	Cores float64 `json:"cores,omitempty"`
 }
 
 // Worker exchanges rows with the other instances, tries lost links again and logs when all are lost.
@@ -146,7 +156,7 @@
 	if w.options.Self.URL == "" || !isDue || now.Before(w.retryAt) {
 		return
 	}
-	r := row{URL: w.options.Self.URL, Zone: w.options.Self.Zone, Start: w.options.Self.Start, Cut: cut, At: now.Unix()}
+	r := row{URL: w.options.Self.URL, Zone: w.options.Self.Zone, Start: w.options.Self.Start, Cut: cut, At: now.Unix(), Cores: w.options.Self.Cores}
 	writes := append(w.removals(now), api.Write{Key: rowTable + "/" + w.options.Self.Name, Expected: api.AnyRevision, Value: api.EncodeValue(r)})
 	if err := w.commit(ctx, writes); err != nil {
 		if ctx.Err() == nil {
@@ -196,6 +206,9 @@
 		if c.Deleted {
 			delete(w.rowTimes, name)
 			w.options.Table.RemovePeer(name)
+			if w.options.Capacities != nil {
+				w.options.Capacities.RemoveCapacity(name)
+			}
 			continue
 		}
 		var r row
@@ -204,6 +217,9 @@
 			continue
 		}
 		w.rowTimes[name] = time.Unix(r.At, 0)
-		w.options.Table.SetPeer(Peer{Name: name, URL: r.URL, Zone: r.Zone, Start: r.Start, Cut: r.Cut})
+		w.options.Table.SetPeer(Peer{Name: name, URL: r.URL, Zone: r.Zone, Start: r.Start, Cut: r.Cut, Cores: r.Cores})
+		if w.options.Capacities != nil {
+			w.options.Capacities.SetCapacity(name, r.Cores)
+		}
 	}
 }
