live, platform: evacuation of an availability zone

Cause: an operator could not take a zone out of service; only single targets drain. Change: rows op/evacuate/ZONE reach the view, which holds all targets of such a zone as Draining and Evacuated, whatever the order in which entries, responses and rows are read. Reports and orders of the weights check the zone again before each call, because an order and its polls last seconds. The planner of scaling counts an evacuated zone as without engines, orders nothing there and keeps what it ordered. `egretspar fleet` has subcommands: `run`, the default, and `targets`, which reads GET /targets from the port of the metrics.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -56,7 +56,7 @@
 
 type commands struct {
 	Serve   serveCommand       `cmd:"" help:"Run an entry instance until SIGTERM."`
-	Fleet   fleetCommand       `cmd:"" help:"Run an entry instance on the users' platform, with settings from environment variables."`
+	Fleet   fleetCommands      `cmd:"" help:"Run an entry instance on the users' platform, with settings from environment variables, or inspect one."`
 	Config  configCommands     `cmd:"" help:"Check, compare, apply and read configurations."`
 	Key     keyCommands        `cmd:"" help:"Create and withdraw keys."`
 	Team    teamCommands       `cmd:"" help:"List and show teams."`
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -15,6 +15,10 @@
 	CrashReportWriteFailed    Name = "crash report not written"
 	DepartureWriteFailed      Name = "departure not written, jobs are taken over after the owner timeout"
 	Drained                   Name = "instance drained"
+	EvacuationBegan           Name = "evacuation began"
+	EvacuationEnded           Name = "evacuation ended"
+	EvacuationOfUnknownZone   Name = "evacuation of a zone without targets"
+	EvacuationValueUnknown    Name = "value of an evacuation row unknown, the zone is evacuated"
 	FeedFailed                Name = "feed failed"
 	FeedRecovered             Name = "feed recovered"
 	FeedThrottled             Name = "feed throttled, the table refused calls"
@@ -81,6 +85,7 @@
 	TargetLimitEnded          Name = "target no longer names a limit"
 	TargetRemoved             Name = "target removed"
 	TargetStays               Name = "target no longer says it leaves"
+	TargetsNotSent            Name = "list of targets not sent"
 	TargetsOrdered            Name = "targets ordered"
 	TextListFailed            Name = "stored text not listed, items restart"
 	TextRead                  Name = "stored text read"
@@ -108,6 +113,10 @@
 	CrashReportWriteFailed:    "other instances do not know yet which requests crashed targets here; the write is retried",
 	DepartureWriteFailed:      "a stopping owner could not write that it leaves; other instances take its jobs over after the owner timeout",
 	Drained:                   "the instance completed a graceful shutdown",
+	EvacuationBegan:           "targets in `zone` get no requests from now on; `revision` of the operator's row, `targets` in the zone",
+	EvacuationEnded:           "targets in `zone` get requests again; `revision`, `targets` in the zone",
+	EvacuationOfUnknownZone:   "the operator evacuates `zone`, in which this instance knows no target; the name may be wrong",
+	EvacuationValueUnknown:    "the row that evacuates `zone` holds `value` instead of an empty object; the row counts whatever it holds",
 	FeedFailed:                "calls to the feed of a table fail; the state read from it becomes stale",
 	FeedRecovered:             "calls to the feed succeed again",
 	FeedThrottled:             "the store returned 429; `pace` is the time between two calls from now on, and it falls again while calls succeed",
@@ -174,6 +183,7 @@
 	TargetLimitEnded:          "a response of `target` to this instance names its limit no more",
 	TargetRemoved:             "a target's entry was removed",
 	TargetStays:               "a response of `target` to a later request no longer says that it leaves",
+	TargetsNotSent:            "a request for the list of targets ended before its response was sent",
 	TargetsOrdered:            "the lease holder ordered a number of engines; `load`, `count`, `term`",
 	TextListFailed:            "a takeover could not list stored text",
 	TextRead:                  "items continue after stored text; `stored`, `used`",
--- a/internal/live/view.go
+++ b/internal/live/view.go
@@ -40,7 +40,10 @@
 	// releases holds the newest weight version by model.
 	releases map[string]int
 	// changed is closed and replaced by a new channel at each change.
-	changed chan struct{}
+	changed    chan struct{}
+	evacuation evacuation
+	// stateSince holds when each target got its state, by ID.
+	stateSince map[string]time.Time
 }
 
 // run is one run of a target.
@@ -56,7 +59,7 @@
 
 // NewView returns a view without configuration and targets.
 func NewView() *View {
-	return &View{targets: map[string]Target{}, runs: map[string]run{}, releases: map[string]int{}, changed: make(chan struct{})}
+	return &View{targets: map[string]Target{}, runs: map[string]run{}, releases: map[string]int{}, changed: make(chan struct{}), stateSince: map[string]time.Time{}}
 }
 
 // Config returns the configuration in force, or nil if there is none yet.
@@ -95,8 +98,7 @@
 	}
 	r.listedDraining = t.Draining
 	v.setRun(t.ID, r)
-	t.Draining = t.Draining || !r.leavingSince.IsZero()
-	v.targets[t.ID] = t
+	v.put(t, r)
 	v.signalChange()
 }
 
@@ -132,8 +134,7 @@
 	}
 	v.runs[id] = r
 	if t, ok := v.targets[id]; ok {
-		t.Draining = r.listedDraining || leaving
-		v.targets[id] = t
+		v.put(t, r)
 		v.signalChange()
 	}
 	return true
@@ -163,6 +164,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	delete(v.targets, id)
+	delete(v.stateSince, id)
 	v.signalChange()
 }
 
--- a/internal/scaling/plan.go
+++ b/internal/scaling/plan.go
@@ -36,6 +36,8 @@
 	Price float64
 	// OnDemand and Reclaimable are the numbers of engines that run in the zone.
 	OnDemand, Reclaimable int
+	// Evacuated zones count as without engines, and nothing is ordered there.
+	Evacuated bool
 }
 
 // Bounds limit the engines of both kinds together in each zone.
@@ -124,10 +126,17 @@
 // The highest number seen is used, because engines may be missing from the list for a while.
 func (p *Planner) updateZones(now time.Time, zones []Zone) {
 	for _, s := range p.zones {
-		s.OnDemand, s.Reclaimable = 0, 0
+		s.OnDemand, s.Reclaimable, s.Evacuated = 0, 0, false
 	}
 	for _, z := range zones {
 		s := p.zones[z.Name]
+		if z.Evacuated {
+			// What was ordered stays ordered: the engines come back when the evacuation ends.
+			if s != nil {
+				s.Evacuated = true
+			}
+			continue
+		}
 		if s == nil {
 			s = &zoneState{}
 			p.zones[z.Name] = s
@@ -147,7 +156,7 @@
 // engine counts as reclaimed if it is still missing after maxStartTime, since until then it may be starting.
 func (s *zoneState) trackShortage(now time.Time) {
 	switch {
-	case s.Reclaimable >= s.ordered.Reclaimable:
+	case s.Evacuated, s.Reclaimable >= s.ordered.Reclaimable:
 		s.shortageSince = time.Time{}
 	case s.shortageSince.IsZero():
 		s.shortageSince = now
@@ -159,17 +168,19 @@
 
 func (p *Planner) orderedTotal() int {
 	total := 0
-	for _, s := range p.zones {
+	for _, s := range p.zonesByPrice() {
 		total += s.ordered.OnDemand + s.ordered.Reclaimable
 	}
 	return total
 }
 
-// zonesByPrice returns the zones ordered by price, cheapest first.
+// zonesByPrice returns the zones that are not evacuated ordered by price, cheapest first.
 func (p *Planner) zonesByPrice() []*zoneState {
 	all := make([]*zoneState, 0, len(p.zones))
 	for _, s := range p.zones {
-		all = append(all, s)
+		if !s.Evacuated {
+			all = append(all, s)
+		}
 	}
 	slices.SortFunc(all, func(a, b *zoneState) int { return cmp.Or(cmp.Compare(a.Price, b.Price), cmp.Compare(a.Name, b.Name)) })
 	return all
--- a/internal/scaling/worker.go
+++ b/internal/scaling/worker.go
@@ -82,7 +82,7 @@
 }
 
 // zoneCounts counts the engines of a service that are not draining, by zone. Zones without such an engine are left out,
-// so engines are ordered only in zones where the service runs.
+// so engines are ordered only in zones where the service runs. Evacuated zones are listed without engines.
 func (w *Worker) zoneCounts(service string, scaling *live.Scaling) []Zone {
 	counts := map[string]*Zone{}
 	for _, t := range w.options.View.Targets() {
@@ -100,6 +100,9 @@
 			z.OnDemand++
 		}
 	}
+	for _, zone := range w.options.View.EvacuatedZones() {
+		counts[zone] = &Zone{Name: zone, Evacuated: true}
+	}
 	zones := make([]Zone, 0, len(counts))
 	for _, z := range counts {
 		zones = append(zones, *z)
--- a/internal/weights/rolling_worker.go
+++ b/internal/weights/rolling_worker.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
@@ -150,9 +151,12 @@
 	accepted := false
 	var sentTerm int64
 	began := time.Now()
-	status, err := w.options.Engines.Status(ctx, o.Target)
+	status, err := w.status(ctx, o.Target)
 	if err == nil && !status.Busy && status.Versions[o.Model] < o.Version {
 		err = w.options.Lease.Guard(ctx, func(ctx context.Context, term int64) error {
+			if w.isEvacuated(o.Target) {
+				return errEvacuated
+			}
 			sentTerm = term
 			var err error
 			accepted, err = w.options.Engines.Switch(ctx, o, status.AcceptedOrders, term)
@@ -179,7 +183,10 @@
 			return
 		}
 		pause = rollingPollInterval
-		status, err := w.options.Engines.Status(ctx, o.Target)
+		status, err := w.status(ctx, o.Target)
+		if errors.Is(err, errEvacuated) {
+			return
+		}
 		if err != nil || status.Versions[o.Model] < o.Version {
 			continue
 		}
@@ -192,6 +199,23 @@
 	}
 }
 
+// errEvacuated reports that nothing was sent to an engine because its zone is evacuated.
+var errEvacuated = errors.New("zone of the engine is evacuated")
+
+// status returns what an engine reports, or errEvacuated.
+func (w *RollingWorker) status(ctx context.Context, t live.Target) (EngineStatus, error) {
+	if w.isEvacuated(t) {
+		return EngineStatus{}, errEvacuated
+	}
+	return w.options.Engines.Status(ctx, t)
+}
+
+// isEvacuated reports whether an engine's zone has come to be evacuated since its order was planned.
+func (w *RollingWorker) isEvacuated(t live.Target) bool {
+	current, ok := w.options.View.Target(t.ID)
+	return ok && current.Evacuated
+}
+
 // recordIfLoaded records the version that the engine reports and returns true if the order's version or a newer one is
 // loaded.
 func (w *RollingWorker) recordIfLoaded(service string, o RollingOrder, status EngineStatus) bool {
