--- a/internal/scaling/plan_test.go
+++ b/internal/scaling/plan_test.go
@@ -141,3 +141,23 @@
 		t.Errorf("%d engines, want 15", n)
 	}
 }
+
+// Guards against reclaimable engines of an evacuated zone that count as reclaimed: a later order for the zone would remove them.
+func TestEvacuatedEnginesAreNotReclaimed(t *testing.T) {
+	p := NewPlanner()
+	zones := threeZones()
+	acceptAll(p, p.Plan(begin, zones, testBounds, 228))
+	for i := range zones {
+		zones[i].Reclaimable = 4
+	}
+	p.Plan(begin.Add(time.Second), zones, testBounds, 228)
+	want := p.zones["a"].ordered
+	during := []Zone{{Name: "a", Evacuated: true}, zones[1], zones[2]}
+	for s := 2; s < 90; s++ {
+		acceptAll(p, p.Plan(begin.Add(time.Duration(s)*time.Second), during, testBounds, 100))
+	}
+	p.Plan(begin.Add(90*time.Second), zones, testBounds, 100)
+	if got := p.zones["a"].ordered; got != want || got.Reclaimable == 0 {
+		t.Errorf("zone a has %+v after its evacuation, want %+v", got, want)
+	}
+}
--- a/internal/scaling/worker.go
+++ b/internal/scaling/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -76,7 +77,10 @@
 		}
 		bounds := Bounds{Min: service.Scaling.Min, Max: service.Scaling.Max, Slots: service.Slots, MaxUpToDate: w.options.MaxUpToDate(name)}
 		for _, o := range p.Plan(w.options.Now(), w.zoneCounts(name, service.Scaling), bounds, load[name]) {
-			w.sendOrder(ctx, name, p, o, load[name])
+			// The zone may have come to be evacuated while an earlier order was sent.
+			if !slices.Contains(w.options.View.EvacuatedZones(), o.Zone) {
+				w.sendOrder(ctx, name, p, o, load[name])
+			}
 		}
 	}
 }
