--- a/internal/earlysignal/hangup.go
+++ b/internal/earlysignal/hangup.go
@@ -12,7 +12,7 @@
 // The C library calls a constructor with the arguments of main, before the Go runtime starts. Other commands keep the default
 // action, so that they end with their terminal. signal.Notify replaces the ignored action later.
 __attribute__((constructor)) static void ignore_hangup(int argc, char **argv) {
-	if (argc > 1 && strcmp(argv[1], "fleet") == 0) {
+	if (argc > 1 && strcmp(argv[1], "fleet") == 0 && (argc == 2 || strcmp(argv[2], "run") == 0)) {
 		signal(SIGHUP, SIG_IGN);
 	}
 }
--- a/internal/scaling/worker.go
+++ b/internal/scaling/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -76,13 +77,16 @@
 		}
 		bounds := Bounds{Min: service.Scaling.Min, Max: service.Scaling.Max, Slots: service.Slots, MaxUpToDate: w.options.MaxUpToDate(name)}
 		for _, o := range p.Plan(w.options.Now(), w.zoneCounts(name, service.Scaling), bounds, load[name]) {
-			w.sendOrder(ctx, name, p, o, load[name])
+			// The zone may have come to be evacuated while an earlier order was sent.
+			if !slices.Contains(w.options.View.EvacuatedZones(), o.Zone) {
+				w.sendOrder(ctx, name, p, o, load[name])
+			}
 		}
 	}
 }
 
 // zoneCounts counts the engines of a service that are not draining, by zone. Zones without such an engine are left out,
-// so engines are ordered only in zones where the service runs.
+// so engines are ordered only in zones where the service runs. Evacuated zones are listed without engines.
 func (w *Worker) zoneCounts(service string, scaling *live.Scaling) []Zone {
 	counts := map[string]*Zone{}
 	for _, t := range w.options.View.Targets() {
@@ -100,6 +104,9 @@
 			z.OnDemand++
 		}
 	}
+	for _, zone := range w.options.View.EvacuatedZones() {
+		counts[zone] = &Zone{Name: zone, Evacuated: true}
+	}
 	zones := make([]Zone, 0, len(counts))
 	for _, z := range counts {
 		zones = append(zones, *z)
