startlimit: owners of jobs share the bound of cold targets at all times

Cause: when a step started, the owners of three trainers filled an engine of 8 slots that had just restarted, without knowing so: 19 requests in one second, 17.1 allowed.

Change: for services with cold_per_s, each owner limits the runs that it starts on a target in a sliding second (1.2 s with the jitter of delays) to its share of the bound (settings cold_overshoot, cold_slack). Owners whose model the target is assigned to divide 0.6 of it, the others 0.3. Places belong to sequences of jobs (route and model) and stay for 10 s after a job, so that the next owner takes the same place. New places and those handed over count half for 1.2 s, stale knowledge and a resumed process halve the share, a process that has just started starts nothing for 0.7 s and half until 1.2 s. With more places than permits, places take turns of 4 s. Runs that start late are counted again when they start.

Conclusion: the bound holds without any instance knowing that a target is cold.

--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -33,6 +33,16 @@
 // placeItems starts the items of all owned jobs for which engines have free slots. It returns the time until the next
 // round; 0 means that the next round waits for a wake signal.
 func (s *Service) placeItems() time.Duration {
+	s.beginRound()
+	pause := s.placeOwnedJobs()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.starts.EndRound(pause, time.Now())
+	return pause
+}
+
+// placeOwnedJobs is one round of placement.
+func (s *Service) placeOwnedJobs() time.Duration {
 	s.mu.Lock()
 	jobs, draining := s.ownedJobsLocked(), s.draining
 	s.mu.Unlock()
@@ -87,6 +97,7 @@
 	config, limited := s.options.View.Config(), s.options.Limits.Limited(time.Now())
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	places := s.startPlacesLocked(config)
 	for key := range keys {
 		service, model := key.service, key.model
 		if assigned[service] == nil {
@@ -94,10 +105,12 @@
 		}
 		poolEngines := make([]placement.Engine, 0, len(engines[service]))
 		for _, t := range engines[service] {
-			poolEngines = append(poolEngines, placement.Engine{
+			e := placement.Engine{
 				ID: t.ID, Slots: t.Slots, Version: t.Versions[model], Assigned: assigned[service][t.ID] == model, StartNumber: t.StartNumber,
 				Software: t.Software, Limited: limited[t.ID],
-			})
+			}
+			e.MaxStarts, e.StartsLimited = places.share(t, assigned[service][t.ID])
+			poolEngines = append(poolEngines, e)
 		}
 		s.poolLocked(key).SetEngines(poolEngines)
 	}
@@ -114,6 +127,7 @@
 	p := s.pools[key]
 	if p == nil {
 		p = placement.NewPool(s.options.Limits)
+		p.SetStartCounter(s.starts)
 		s.pools[key] = p
 	}
 	return p
@@ -154,6 +168,7 @@
 			continue
 		}
 		pool.Begin(id, item.item.Group)
+		s.starts.Record(id, now)
 		ctx, cancel := context.WithCancel(o.ctx)
 		o.progress.startRun(item, id, now, cancel)
 		run := Run{
@@ -161,7 +176,7 @@
 			EarlierStepOpen: earlierStepOpen,
 		}
 		s.options.Log.Debug().Str("job", o.job.ID).Str("item", item.item.ID).Str("target", id).Str("software", run.Target.Software).Int("after", run.LastEvent).Msg(event.ItemRunStarted)
-		s.tasks.Go(func() { o.runItem(ctx, item, run) })
+		s.tasks.Go(func() { o.runItem(ctx, item, run, now) })
 	}
 	hasPending := len(o.progress.pending) > 0
 	if !hasPending {
@@ -217,10 +232,11 @@
 	}
 }
 
-// runItem runs an item once and records how the run ended.
-func (o *ownedJob) runItem(ctx context.Context, item *itemState, run Run) {
+// runItem runs an item once and records how the run ended. placedAt is when the run was counted.
+func (o *ownedJob) runItem(ctx context.Context, item *itemState, run Run, placedAt time.Time) {
 	s := o.service
 	startedAt := time.Now()
+	s.countDelay(run.Target.ID, placedAt, startedAt)
 	meter := intervalMeter{}
 	ending := s.options.Runner.Run(ctx, run, func(e Event) error {
 		err := o.appendEvent(item, run.Target.Software, e)
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -15,6 +15,7 @@
 	"github.com/egretspar/egretspar/internal/placement"
 	"github.com/egretspar/egretspar/internal/platform/api"
 	"github.com/egretspar/egretspar/internal/reward"
+	"github.com/egretspar/egretspar/internal/startlimit"
 	"github.com/egretspar/egretspar/internal/targetlimit"
 )
 
@@ -76,6 +77,8 @@
 	AssignModels func(targets []live.Target, models []string) map[string]string
 	// Limits holds the limits that engines name; nil means that there are none.
 	Limits *targetlimit.Table
+	// ColdBound limits the requests that a cold engine gets in a second.
+	ColdBound startlimit.Bound
 	// Rewards and RewardMetrics are needed only for items with reward requests.
 	Rewards       RewardCaller
 	RewardMetrics RewardMetrics
@@ -100,6 +103,8 @@
 	owned map[string]*ownedJob
 	// pools holds the placement pools, by service and model.
 	pools map[poolKey]*placement.Pool
+	// starts counts the runs that this process started.
+	starts *startlimit.Counter
 	// starting marks jobs that a takeover or Accept is about to start.
 	starting map[string]bool
 	// rewardLimiters limits the concurrent reward calls, by service.
@@ -127,8 +132,9 @@
 type jobRow struct {
 	jobRecord
 	revision int
-	// ownerSeenAt is when this instance first saw the row with its current owner.
-	ownerSeenAt time.Time
+	// ownerSeenAt is when this instance first saw the row with its current owner, endedSeenAt when it saw that the job had
+	// ended.
+	ownerSeenAt, endedSeenAt time.Time
 }
 
 // New returns a Service that owns no jobs.
@@ -139,7 +145,7 @@
 	s := &Service{
 		options: options,
 		rows:    map[string]jobRow{}, lastHeartbeat: map[string]time.Time{}, owned: map[string]*ownedJob{},
-		pools: map[poolKey]*placement.Pool{}, starting: map[string]bool{},
+		pools: map[poolKey]*placement.Pool{}, starts: startlimit.NewCounter(time.Now()), starting: map[string]bool{},
 		rewardLimiters: map[string]*reward.Limiter{}, heartbeatSlot: make(chan struct{}, 1),
 		wake: make(chan struct{}, 1), rewardWake: make(chan struct{}, 1), cache: newJobCache(),
 	}
@@ -202,6 +208,12 @@
 	if ok && oldRow.Owner == r.Owner {
 		row.ownerSeenAt = oldRow.ownerSeenAt
 	}
+	switch {
+	case ok && oldRow.Ended:
+		row.endedSeenAt = oldRow.endedSeenAt
+	case r.Ended:
+		row.endedSeenAt = now
+	}
 	s.rows[id] = row
 	owned := s.owned[id]
 	needsTakeover := owned == nil && r.Owner == s.options.Instance && !r.Ended && !s.starting[id] && !s.draining
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -49,6 +49,7 @@
 	LoadLimitsWriteFailed     Name = "load limits not written"
 	MetricsServeFailed        Name = "metrics not served"
 	OperatorRowDeleted        Name = "operator row deleted, its last value stays in force"
+	PlacementDelayed          Name = "placement delayed"
 	RequestEnded              Name = "request ended"
 	RequestRefused            Name = "request refused"
 	RequestsInterrupted       Name = "requests interrupted at the end of the grace period"
@@ -142,6 +143,7 @@
 	LoadLimitsWriteFailed:     "what the lease holder learned about concurrent loads is not stored for its successor",
 	MetricsServeFailed:        "the metrics address could not be opened",
 	OperatorRowDeleted:        "a row of the operator was deleted",
+	PlacementDelayed:          "a round of placement came a second late, because the process was frozen or had no processor time; `jobs` owned",
 	RequestEnded:              "a request ended; `target`, `status`, `outcome`, `reason`, `attempts`, `elapsed`",
 	RequestRefused:            "this instance refused a request; `reason`, configuration `version` and its `age`",
 	RequestsInterrupted:       "the grace period of a graceful shutdown ended before the last requests did",
--- a/internal/live/config.go
+++ b/internal/live/config.go
@@ -171,6 +171,19 @@
 	return Route{}, false
 }
 
+// BatchRoutes returns the names of all batch routes; the value tells whether the service runs the jobs of the route.
+func (c *Config) BatchRoutes(service string) map[string]bool {
+	names := map[string]bool{}
+	for _, routes := range c.routes {
+		for _, r := range routes {
+			if r.Kind == Batch {
+				names[r.Name] = names[r.Name] || slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service })
+			}
+		}
+	}
+	return names
+}
+
 // Authenticate returns the team of a bearer key. The second value is false if the route requires a key and the given
 // one is missing or unknown.
 func (c *Config) Authenticate(route Route, key string) (Team, bool) {
--- a/internal/placement/move.go
+++ b/internal/placement/move.go
@@ -51,15 +51,17 @@
 	})
 	additionalRunning := p.peerRunning(now)
 	var moves []Move
+	movesTo := map[string]int{}
 	for _, r := range running {
 		if len(moves) >= maxMovesPerCall {
 			break
 		}
 		to := p.moveDestination(r, minVersion, additionalRunning, now)
-		if to == "" {
+		if to == "" || !p.mayStart(p.engines[to], movesTo[to]+1, now) {
 			continue
 		}
 		additionalRunning[to]++
+		movesTo[to]++
 		moves = append(moves, Move{Key: r.Key, From: r.Engine, To: to})
 	}
 	return moves
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -55,6 +55,9 @@
 	Limited bool
 	// StartNumber identifies the engine's current run. It changes when the engine restarts.
 	StartNumber int64
+	// MaxStarts is the number of runs that this instance may start on the engine in a second, if StartsLimited is set.
+	StartsLimited bool
+	MaxStarts     int
 }
 
 // Request describes an item to place.
@@ -104,6 +107,8 @@
 	// limits is asked about engines that are limited; anyLimited is set if some engine is.
 	limits     Limits
 	anyLimited bool
+	// starts counts the runs that the pools of this instance started lately.
+	starts StartCounter
 	// peerLoads holds the last load report of each other instance.
 	peerLoads map[string]peerLoad
 }
@@ -119,11 +124,19 @@
 	MayUse(engine string, now time.Time) bool
 }
 
+// StartCounter tells how many runs may still start on an engine now, given the number that may start in a second.
+type StartCounter interface {
+	Left(engine string, perSecond int, now time.Time) int
+}
+
 // NewPool returns a pool without engines. limits is not used without limited engines.
 func NewPool(limits Limits) *Pool {
 	return &Pool{engines: map[string]*engine{}, limits: limits, peerLoads: map[string]peerLoad{}}
 }
 
+// SetStartCounter sets the counter of the starts of all pools. It is needed only if the starts on some engine are limited.
+func (p *Pool) SetStartCounter(c StartCounter) { p.starts = c }
+
 // SetPeerLoad records how many items another instance runs on each engine. The report expires after peerLoadTTL.
 func (p *Pool) SetPeerLoad(instance string, running map[string]int, now time.Time) {
 	p.peerLoads[instance] = peerLoad{running: running, reportedAt: now}
@@ -216,7 +229,12 @@
 // canAccept reports whether an engine can get an item now.
 func (p *Pool) canAccept(e *engine, minVersion int, now time.Time) bool {
 	return e.listed && e.Version >= minVersion && e.running < e.Slots && !now.Before(e.backoffUntil) &&
-		(!e.Limited || p.limits.MayUse(e.ID, now))
+		p.mayStart(e, 1, now) && (!e.Limited || p.limits.MayUse(e.ID, now))
+}
+
+// mayStart reports whether a number of runs may start on an engine now.
+func (p *Pool) mayStart(e *engine, count int, now time.Time) bool {
+	return !e.StartsLimited || p.starts.Left(e.ID, e.MaxStarts, now) >= count
 }
 
 // Place returns the engine with the lowest cost for an item, or false if no engine can accept it. While some engines are
