targetlimit: instances share the rate of a target that warms up

Cause: an instance that knows that a target is cold has to keep, with all other instances, to cold_per_s and the bound.

Change: the table of limits gets warm-ups: rate and burst of a service whose sum in a second stays below the bound, and the time until which a target is cold, from its entry (cold_left_ms, or its start and cold_start_s), its responses (X-Cold-Ms) and the reports of instances that saw such a response. The time only grows. A limit that the target names applies beside it, the lower one counts. Requests sent just before count against the first permits. Reports hold at most 128 targets that are only cold. Log events and metrics for warm-ups and held starts.

--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -179,6 +179,9 @@
 		s.tasks.Go(func() { o.runItem(ctx, item, run, now) })
 	}
 	hasPending := len(o.progress.pending) > 0
+	if wanted && hasPending && pool.HoldsStarts(o.job.MinVersion, now) {
+		s.heldStarts++
+	}
 	if !hasPending {
 		o.moveItems(pool, now)
 	}
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -105,6 +105,8 @@
 	pools map[poolKey]*placement.Pool
 	// starts counts the runs that this process started.
 	starts *startlimit.Counter
+	// heldStarts counts the rounds of placement in which items waited because of this instance's share of the starts.
+	heldStarts int64
 	// starting marks jobs that a takeover or Accept is about to start.
 	starting map[string]bool
 	// rewardLimiters limits the concurrent reward calls, by service.
--- a/internal/batch/starts.go
+++ b/internal/batch/starts.go
@@ -92,3 +92,10 @@
 	defer s.mu.Unlock()
 	s.starts.Delay(target, placedAt, now)
 }
+
+// HeldStarts returns how many rounds of placement left items waiting because of this instance's share of the starts.
+func (s *Service) HeldStarts() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.heldStarts
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -73,6 +73,8 @@
 	StreamsWriteFailed        Name = "streams not written"
 	TakeoverFailed            Name = "job not taken over"
 	TargetChanged             Name = "target changed"
+	TargetCold                Name = "target warms up"
+	TargetColdDecodeFailed    Name = "warm-up of a target not decoded"
 	TargetCrashed             Name = "target crashed or disconnected while it ran a request"
 	TargetDecodeFailed        Name = "target entry not decoded"
 	TargetEntryExpired        Name = "target entry expired around an outage, target kept for now"
@@ -82,6 +84,7 @@
 	TargetLimitEnded          Name = "target no longer names a limit"
 	TargetRemoved             Name = "target removed"
 	TargetStays               Name = "target no longer says it leaves"
+	TargetWarm                Name = "target has warmed up"
 	TargetsOrdered            Name = "targets ordered"
 	TextListFailed            Name = "stored text not listed, items restart"
 	TextRead                  Name = "stored text read"
@@ -167,6 +170,8 @@
 	StreamsWriteFailed:        "other instances do not know yet which software version began some streams; the write is retried",
 	TakeoverFailed:            "a takeover failed and is retried",
 	TargetChanged:             "a target reported new properties; `draining`, `versions`",
+	TargetCold:                "`target` of `service` takes few requests for the time `left`; `input` that says so (`entry` or `response`), `start` number, `status` of the response",
+	TargetColdDecodeFailed:    "a response of `target` states the rest of its warm-up, but as no number",
 	TargetCrashed:             "a target crashed or disconnected while it ran the request with this hash; from the third target on the request is refused",
 	TargetDecodeFailed:        "a target entry could not be decoded and is not used",
 	TargetEntryExpired:        "a target's entry vanished near an outage of the store; the target is used for 2.2 s more",
@@ -176,6 +181,7 @@
 	TargetLimitEnded:          "a response of `target` to this instance names its limit no more",
 	TargetRemoved:             "a target's entry was removed",
 	TargetStays:               "a response of `target` to a later request no longer says that it leaves",
+	TargetWarm:                "the warm-up of `target` is over; `input` is `expiry`",
 	TargetsOrdered:            "the lease holder ordered a number of engines; `load`, `count`, `term`",
 	TextListFailed:            "a takeover could not list stored text",
 	TextRead:                  "items continue after stored text; `stored`, `used`",
--- a/internal/live/view.go
+++ b/internal/live/view.go
@@ -50,6 +50,8 @@
 	knownSince time.Time
 	// listedDraining is whether its description said that it drains.
 	listedDraining bool
+	// coldUntil is when the target has warmed up as far as anything said.
+	coldUntil time.Time
 	// leavingSince is when the request was sent whose response first said that the target leaves; zero if none did.
 	leavingSince time.Time
 }
@@ -88,12 +90,15 @@
 	r, ok := v.runs[t.ID]
 	switch {
 	case !ok, r.startNumber != t.StartNumber:
-		r = run{startNumber: t.StartNumber, knownSince: time.Now()}
+		// A response may have said that the target is cold before its new description came.
+		r = run{startNumber: t.StartNumber, knownSince: time.Now(), coldUntil: r.coldUntil}
 	case r.listedDraining && !t.Draining:
 		// The target stays after all. An entry that never said draining may be older than the word in the responses.
 		r.leavingSince = time.Time{}
 	}
 	r.listedDraining = t.Draining
+	t.ColdUntil = laterTime(t.ColdUntil, r.coldUntil)
+	r.coldUntil = t.ColdUntil
 	v.setRun(t.ID, r)
 	t.Draining = t.Draining || !r.leavingSince.IsZero()
 	v.targets[t.ID] = t
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -228,8 +228,21 @@
 
 // canAccept reports whether an engine can get an item now.
 func (p *Pool) canAccept(e *engine, minVersion int, now time.Time) bool {
+	return p.hasRoom(e, minVersion, now) && p.mayStart(e, 1, now)
+}
+
+// hasRoom reports whether an engine can get an item now but for the limit of starts.
+func (p *Pool) hasRoom(e *engine, minVersion int, now time.Time) bool {
 	return e.listed && e.Version >= minVersion && e.running < e.Slots && !now.Before(e.backoffUntil) &&
-		p.mayStart(e, 1, now) && (!e.Limited || p.limits.MayUse(e.ID, now))
+		(!e.Limited || p.limits.MayUse(e.ID, now))
+}
+
+// HoldsStarts reports whether an engine has room for items of at least minVersion, but may get none now because of the limit
+// of starts.
+func (p *Pool) HoldsStarts(minVersion int, now time.Time) bool {
+	return slices.ContainsFunc(p.engineList, func(e *engine) bool {
+		return e.StartsLimited && p.hasRoom(e, minVersion, now) && !p.mayStart(e, 1, now)
+	})
 }
 
 // mayStart reports whether a number of runs may start on an engine now.
--- a/internal/targetlimit/report.go
+++ b/internal/targetlimit/report.go
@@ -16,6 +16,8 @@
 	NamedAgeMs *int `json:"named_ms,omitempty"`
 	EndedAgeMs *int `json:"ended_ms,omitempty"`
 	Wanted     bool `json:"wanted,omitempty"`
+	// ColdLeftMs is how long the target remains cold, if a response told this instance so.
+	ColdLeftMs int `json:"cold_ms,omitempty"`
 	// Sent is the number of requests that the instance sent in each of the last intervals of sentInterval, newest first.
 	Sent []int `json:"sent,omitempty"`
 }
@@ -35,7 +37,8 @@
 	defer t.mu.Unlock()
 	t.evict(now)
 	r := Report{Targets: map[string]TargetReport{}}
-	for id, e := range t.targets {
+	for _, id := range t.reportedTargets() {
+		e := t.targets[id]
 		report := TargetReport{Service: e.service, Wanted: e.limits(now) && e.wants(now), Sent: e.sent.counts(now)}
 		switch {
 		case e.ownEndedAt.After(e.ownNamedAt):
@@ -45,7 +48,8 @@
 		case !e.ownNamedAt.IsZero() && e.endedAt.IsZero():
 			report.Rate, report.NamedAgeMs = e.ownRate, ageMs(e.ownNamedAt, now)
 		}
-		if report.Wanted || report.Sent != nil || report.NamedAgeMs != nil || report.EndedAgeMs != nil {
+		report.ColdLeftMs = int(max(0, e.coldSaidUntil.Sub(now).Milliseconds()))
+		if report.Wanted || report.Sent != nil || report.ColdLeftMs > 0 || report.NamedAgeMs != nil || report.EndedAgeMs != nil {
 			r.Targets[id] = report
 		}
 	}
@@ -136,6 +140,9 @@
 
 // applyTarget records what another instance saw of a target. The caller holds the lock.
 func (t *Table) applyTarget(id string, r TargetReport, now time.Time) {
+	if r.ColdLeftMs > 0 {
+		t.setCold(id, r.Service, now.Add(min(time.Duration(r.ColdLeftMs)*time.Millisecond, maxColdTime)), now)
+	}
 	e := t.targets[id]
 	switch {
 	case r.NamedAgeMs != nil:
@@ -152,7 +159,7 @@
 			return
 		}
 		e.rate, e.namedAt, e.endedAt = r.Rate, namedAt, time.Time{}
-	case r.EndedAgeMs != nil && e != nil && e.endedAt.IsZero():
+	case r.EndedAgeMs != nil && e != nil && !e.namedAt.IsZero() && e.endedAt.IsZero():
 		endedAt := now.Add(-time.Duration(max(0, *r.EndedAgeMs)) * time.Millisecond)
 		// What another instance saw may be older than its report suggests.
 		if endedAt.After(e.ownNamedAt) && endedAt.After(e.namedAt.Add(-transitTime)) {
--- a/internal/targetlimit/share.go
+++ b/internal/targetlimit/share.go
@@ -64,11 +64,27 @@
 
 // limits reports whether the entry still restricts requests.
 func (e *entry) limits(now time.Time) bool {
-	return e.endedAt.IsZero() || now.Sub(e.endedAt) < recoveryTime
+	return e.isCold(now) || e.namesLimit(now)
+}
+
+// namesLimit reports whether the limit that the target named still restricts requests.
+func (e *entry) namesLimit(now time.Time) bool {
+	return now.Sub(e.namedAt) <= observationTTL && (e.endedAt.IsZero() || now.Sub(e.endedAt) < recoveryTime)
 }
 
 // totalRate returns the requests a second that all instances may send together.
 func (e *entry) totalRate(now time.Time) float64 {
+	if !e.isCold(now) {
+		return e.namedRate(now)
+	}
+	if !e.namesLimit(now) {
+		return e.coldLimit.rate
+	}
+	return min(e.coldLimit.rate, e.namedRate(now))
+}
+
+// namedRate returns the requests a second that the target named.
+func (e *entry) namedRate(now time.Time) float64 {
 	rate := max(e.rate, minRate)
 	if !e.endedAt.IsZero() {
 		rate *= math.Exp2(float64(now.Sub(e.endedAt)) / float64(recoveryStep))
@@ -84,7 +100,7 @@
 // limited returns the entry of a target that restricts requests now, or nil. The caller holds the lock.
 func (t *Table) limited(target string, now time.Time) *entry {
 	e := t.targets[target]
-	if e == nil || !e.limits(now) || now.Sub(e.namedAt) > observationTTL {
+	if e == nil || !e.limits(now) {
 		return nil
 	}
 	return e
@@ -144,12 +160,13 @@
 	defer t.mu.Unlock()
 	e := t.limited(target, now)
 	if e == nil {
+		t.countSent(target, now)
 		return true
 	}
 	t.want(e, waitingTTL, now)
 	t.refill(target, e, now)
 	if e.permits < 1 {
-		t.held++
+		t.countHeld(e.isCold(now))
 		return false
 	}
 	e.permits--
@@ -162,6 +179,7 @@
 func (t *Table) Blocked(service string, now time.Time) (targets []string, retryAfter time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	anyCold := false
 	for id := range t.targets {
 		e := t.limited(id, now)
 		if e == nil || e.service != service {
@@ -173,6 +191,7 @@
 			continue
 		}
 		targets = append(targets, id)
+		anyCold = anyCold || e.isCold(now)
 		if rate := t.part(id, e, now) * e.totalRate(now); rate > 0 {
 			wait := time.Duration((1 - e.permits) / rate * float64(time.Second))
 			if retryAfter == 0 || wait < retryAfter {
@@ -181,7 +200,7 @@
 		}
 	}
 	if len(targets) > 0 {
-		t.held++
+		t.countHeld(anyCold)
 	}
 	return targets, retryAfter
 }
@@ -201,23 +220,30 @@
 		e.permits = part * t.unused(target, e, rate, now)
 		return
 	}
-	e.permits = min(e.permits+part*rate*elapsed.Seconds(), max(1, part*burst(rate)))
+	e.permits = min(e.permits+part*rate*elapsed.Seconds(), max(1, part*e.burst(rate, now)))
 }
 
-// burst returns how many requests a target may get at once.
-func burst(rate float64) float64 { return rate*burstTime.Seconds() + burstBase }
+// burst returns how many requests the target may get at once.
+func (e *entry) burst(rate float64, now time.Time) float64 {
+	burst := rate*burstTime.Seconds() + burstBase
+	if e.isCold(now) {
+		return min(burst, e.coldLimit.burst)
+	}
+	return burst
+}
 
 // unused returns how many requests a target may get at once now, after what all instances sent it as far as this one
 // knows. The caller holds the lock.
 func (t *Table) unused(target string, e *entry, rate float64, now time.Time) float64 {
-	unused := burst(rate)
+	burst := e.burst(rate, now)
+	unused := burst
 	for age := sentInterval; age <= sentIntervals*sentInterval; age += sentInterval {
 		count := e.sent.since(now.Add(-age))
 		for _, p := range t.peers {
 			history := p.sent[target]
 			count += history.since(now.Add(-age))
 		}
-		unused = min(unused, burst(rate)+rate*age.Seconds()-float64(count))
+		unused = min(unused, burst+rate*age.Seconds()-float64(count))
 	}
 	return max(0, unused)
 }
@@ -229,7 +255,11 @@
 	if !e.wants(now) || !isSettled && e.endedAt.IsZero() {
 		return 0
 	}
-	users, isUser := t.users(target, e, int(burst(min(e.totalRate(now), 1<<20))))
+	if e.isCold(now) && (!isSettled || t.readAt.Before(e.reportedAt.Add(settleTime/2))) {
+		// Without a later read, instances that reported at the same time would each use the whole rate.
+		return 0
+	}
+	users, isUser := t.users(target, e, int(e.burst(min(e.totalRate(now), 1<<20), now)))
 	if !isUser {
 		return 0
 	}
--- a/internal/targetlimit/table.go
+++ b/internal/targetlimit/table.go
@@ -54,6 +54,7 @@
 	ownNamedAt, ownEndedAt time.Time
 	// sent holds the requests that this instance sent.
 	sent sentHistory
+	coldness
 	demand
 }
 
@@ -70,14 +71,18 @@
 	// confirmedAt is when the table service last accepted this instance's report, readAt when it last returned those of
 	// the others.
 	confirmedAt, readAt time.Time
-	// held counts requests that did not get a permit at once.
-	held    int64
-	changes chan struct{}
+	// held counts requests that did not get a permit at once, heldCold those of them whose target was cold.
+	held, heldCold int64
+	changes        chan struct{}
+	// warmUps holds the warm-ups by service. recent holds what this instance sent lately to targets without a limit; it is kept
+	// only if there are warm-ups.
+	warmUps map[string]WarmUp
+	recent  map[string]*sentHistory
 }
 
 // NewTable returns a table without limits. instance is the name under which this instance reports.
 func NewTable(instance string) *Table {
-	return &Table{instance: instance, targets: map[string]*entry{}, peers: map[string]peer{}, peersVersion: 1, changes: make(chan struct{}, 1)}
+	return &Table{instance: instance, targets: map[string]*entry{}, peers: map[string]peer{}, peersVersion: 1, changes: make(chan struct{}, 1), recent: map[string]*sentHistory{}}
 }
 
 // ParseRate returns the rate that a header names, in requests a second. Of several values the lowest counts. It returns
@@ -100,7 +105,7 @@
 	e := t.targets[o.Target]
 	if !o.Named {
 		// A response to a request that was sent before the limit was named proves nothing.
-		if e == nil || !e.endedAt.IsZero() || o.SentAt.Before(e.namedAt) {
+		if e == nil || e.namedAt.IsZero() || !e.endedAt.IsZero() || o.SentAt.Before(e.namedAt) {
 			return Unchanged
 		}
 		e.endedAt, e.ownEndedAt = now, now
@@ -133,6 +138,10 @@
 		return nil
 	}
 	e := &entry{service: service}
+	if history := t.recent[target]; history != nil {
+		e.sent = *history
+		delete(t.recent, target)
+	}
 	t.targets[target] = e
 	return e
 }
@@ -140,10 +149,18 @@
 // evict removes the limits that no instance has seen for a while, and those that have ended. The caller holds the lock.
 func (t *Table) evict(now time.Time) {
 	for id, e := range t.targets {
+		if now.Sub(e.coldUntil) <= sentIntervals*sentInterval {
+			continue
+		}
 		if now.Sub(e.namedAt) > observationTTL || !e.limits(now) && now.Sub(e.endedAt) > reportedFor {
 			delete(t.targets, id)
 		}
 	}
+	for id, history := range t.recent {
+		if history.since(now.Add(-sentIntervals*sentInterval)) == 0 {
+			delete(t.recent, id)
+		}
+	}
 }
 
 // Count returns the number of targets that name a limit.
@@ -153,7 +170,7 @@
 	t.evict(now)
 	count := int64(0)
 	for _, e := range t.targets {
-		if e.endedAt.IsZero() {
+		if !e.namedAt.IsZero() && e.endedAt.IsZero() {
 			count++
 		}
 	}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -172,6 +172,18 @@
 	return m.Counter("egretspar.targets.held", "Requests and items that a target did not get at once because of its limit.", held)
 }
 
+// RegisterWarmUps exports the number of cold targets, how often a request was held back from one, and how often a run was held
+// back because the target might be cold.
+func (m *Metrics) RegisterWarmUps(cold, held, heldStarts func() int64) error {
+	if err := m.Gauge("egretspar.targets.cold", "Targets that take few requests because they warm up.", cold); err != nil {
+		return err
+	}
+	if err := m.Counter("egretspar.targets.cold_held", "Requests and items that a target did not get at once because it was cold.", held); err != nil {
+		return err
+	}
+	return m.Counter("egretspar.starts.held", "Rounds of placement in which an item waited because of this instance's share of the starts.", heldStarts)
+}
+
 // Handler serves the metrics in the Prometheus text format.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
