--- a/tools/checklogs/main.go
+++ b/tools/checklogs/main.go
@@ -36,7 +36,7 @@
 	}
 	lines = addMissingStarts(lines)
 	found := false
-	for _, check := range []func([]line) []string{checkLimits, checkSoftware, checkStreams, checkWaits, checkLinks, checkLeaving} {
+	for _, check := range []func([]line) []string{checkLimits, checkSoftware, checkStreams, checkWaits, checkLinks, checkLeaving, checkEvacuations} {
 		for _, finding := range check(lines) {
 			fmt.Println(finding)
 			found = true
--- a/tools/checklogs/main_test.go
+++ b/tools/checklogs/main_test.go
@@ -203,3 +203,30 @@
 		}
 	}
 }
+
+// Guards against a count that misses requests to an evacuated zone, or that finds those to another zone, of another instance, from
+// just after the beginning, or after the end.
+func TestCheckEvacuations(t *testing.T) {
+	const began, ended = `event="evacuation began" instance=a zone=z`, `event="evacuation ended" instance=a zone=z`
+	request := func(instance, target string) string {
+		return fmt.Sprintf(`event="request ended" elapsed=10 instance=%s target=%s`, instance, target)
+	}
+	for _, tc := range []struct {
+		name    string
+		entries []any
+		found   bool
+	}{
+		{"late", []any{0, began, 5100, request("a", "e")}, true},
+		{"an item", []any{0, began, 5100, `event="item run started" instance=a target=e item=i`}, true},
+		{"in time", []any{0, began, 5005, request("a", "e")}, false},
+		{"another zone", []any{0, began, 5100, request("a", "f")}, false},
+		{"another instance", []any{0, began, 5100, request("b", "e")}, false},
+		{"a new process", []any{0, began, 1000, `event="instance started" instance=a`, 5100, request("a", "e")}, false},
+		{"ended", []any{0, began, 5010, ended, 5100, request("a", "e")}, false},
+	} {
+		entries := append([]any{0, `event="target changed" instance=b target=e zone=z`, 0, `event="target changed" instance=b target=f zone=y`}, tc.entries...)
+		if findings := checkEvacuations(logOf(t, entries...)); (len(findings) > 0) != tc.found {
+			t.Errorf("%s: %q", tc.name, findings)
+		}
+	}
+}
