--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -110,6 +110,10 @@
 	starts *startlimit.Counter
 	// heldStarts counts the rounds of placement in which items waited because of this instance's share of the starts.
 	heldStarts int64
+	// speeds holds the speeds of engines that any owner reported. lastReported is the last engine whose speed this
+	// instance reported.
+	speeds       *placement.SpeedTable
+	lastReported string
 	// starting marks jobs that a takeover or Accept is about to start.
 	starting map[string]bool
 	// rewardLimiters limits the concurrent reward calls, by service.
@@ -153,7 +157,7 @@
 	s := &Service{
 		options: options,
 		rows:    map[string]jobRow{}, lastHeartbeat: map[string]time.Time{}, owned: map[string]*ownedJob{},
-		pools: map[poolKey]*placement.Pool{}, starts: startlimit.NewCounter(time.Now()), starting: map[string]bool{},
+		pools: map[poolKey]*placement.Pool{}, starts: startlimit.NewCounter(time.Now()), starting: map[string]bool{}, speeds: placement.NewSpeedTable(),
 		rewardLimiters: map[string]*reward.Limiter{}, heartbeatSlot: make(chan struct{}, 1),
 		wake: make(chan struct{}, 1), rewardWake: make(chan struct{}, 1), cache: newJobCache(),
 	}
