pace: admission rates of an overloaded plain service

Cause: in a flash crowd with two of three targets gone, 202 of 935 requests were served in time although the remaining target could have run about 570. Instances send everything and the target refuses blindly.

Change: package pace decides without I/O whether an instance may send a request to a service. A service is limited when there is evidence of more than one bad response: refusals, resets, late responses, together with a target that cannot be reached or two slow responses in a row. The rate starts at the instance's served requests and changes with each response by requests per second that do not depend on the number of instances, so the sum behaves like one controller. A level that grows with the rate decides which team gets it: the teams with the fewest recent admitted requests first. Reason `overloaded`, Retry-After of 0.05 to 0.2 of the objective, so that the retry can still be in time.

--- a/internal/outcome/reasons.go
+++ b/internal/outcome/reasons.go
@@ -30,6 +30,7 @@
 	TargetUnreachable  Reason = "target_unreachable"
 	TargetRefused      Reason = "target_refused"
 	TargetLimited      Reason = "target_limited"
+	Overloaded         Reason = "overloaded"
 	StreamUnknown      Reason = "stream_unknown"
 	Quarantined        Reason = "quarantined"
 	Suspected          Reason = "suspected"
@@ -75,6 +76,7 @@
 	DeadlinePassed:     {NotRun, http.StatusGatewayTimeout, "the deadline passed before a target was free", 0},
 	NoTarget:           {NotRun, http.StatusServiceUnavailable, "no target of the service is available", time.Second},
 	TargetLimited:      {NotRun, http.StatusServiceUnavailable, "the targets of the service limit their requests", time.Second},
+	Overloaded:         {NotRun, http.StatusServiceUnavailable, "the targets of the service are overloaded", time.Second},
 	StreamUnknown:      {NotRun, http.StatusServiceUnavailable, "the software version that began the stream is not known", time.Second},
 	TargetUnreachable:  {NotRun, http.StatusBadGateway, "no connection to a target could be opened", time.Second},
 	TargetRefused:      {NotRun, http.StatusServiceUnavailable, "the target refused the request before running it", time.Second},
--- /dev/null
+++ b/internal/pace/limiter.go
@@ -0,0 +1,237 @@
+package pace
+
+import (
+	"math"
+	"time"
+
+	"github.com/egretspar/egretspar/internal/target"
+)
+
+const (
+	// evidenceRetention is the time constant in seconds with which evidence of an overload is forgotten.
+	evidenceRetention = 4.0
+	// triggerEvidence is the evidence at which a service becomes limited. A refusal counts as 1, so one is not enough.
+	triggerEvidence = 1.5
+	// lateEvidence is the evidence of a late response, which may be late because of its own work.
+	lateEvidence = 0.25
+	// goodOffset is the evidence that a good response takes back.
+	goodOffset = 0.1
+	// missingEvidence is what a target that cannot be reached adds, because the others get its load.
+	missingEvidence = 0.7
+	// minEvidence is the evidence from refused and late responses without which nothing is limited.
+	minEvidence = 0.5
+	// recentWeight is the weight of a response in the mean time of the last few.
+	recentWeight = 0.4
+	// slownessWeight is what the last two responses add if both took as long as the objective; maxSlowness is the most.
+	slownessWeight = 2.0
+	maxSlowness    = 1.0
+	// baseWeight is the weight of a response in the usual response time.
+	baseWeight = 0.05
+	// enoughCalm is the number of calm responses after which the usual response time is known. Before, shortestWeight is
+	// the weight of a shorter one.
+	enoughCalm     = 20
+	shortestWeight = 0.2
+
+	// goodputWindow is the time constant in seconds of the counts of served and of all requests.
+	goodputWindow = 0.5
+	// setpointFraction places the mean response time that the rate aims at between the usual one and the objective.
+	setpointFraction = 0.15
+	// gain is the change of the rate, in requests per second, by a response whose time differs from the setpoint by the
+	// objective.
+	gain = 2.3
+	// refusedError is the error of a refused attempt as a part of the objective, and maxError that of a slow response.
+	refusedError = 0.8
+	maxError     = 0.6
+	// minGoodput is the part of the served requests below which one response does not lower the rate.
+	minGoodput = 0.8
+	// minRate, in requests per second, lets an instance find out that the overload has ended.
+	minRate = 0.2
+	// idleFactor times the usual response time is a mean of the last responses that shows that nothing waits at the
+	// targets. The rate then grows faster by idleBoost, and the level rises by idleLift.
+	idleFactor = 1.2
+	idleBoost  = 2.5
+	idleLift   = 0.5
+	// growthPerSecond is the part by which the rate grows in a second without responses, for each second since the last
+	// bad one: slowly near the limit and fast when the limit is long past.
+	growthPerSecond = 0.05
+	// burstSeconds is the time for which an unused rate may be used later.
+	burstSeconds = 0.15
+	// endAfter is the time without a bad response and a refusal after which a service is no longer limited.
+	endAfter = 4 * time.Second
+	// maxStep limits the time that one update accounts for, in case the process was frozen or the clock jumped.
+	maxStep = 2 * time.Second
+)
+
+// limiter holds the admission rate of one service at one instance.
+type limiter struct {
+	limited bool
+	// rate is the admission rate in requests per second, if limited.
+	rate float64
+	// level grows at the rate and falls by one for each admitted request. A team that needs a higher one is refused.
+	level float64
+	teams teamUses
+	// evidence counts recent bad responses, and missing counts targets that could not be reached.
+	evidence, missing float64
+	// base is the usual response time in seconds while the service is not limited; 0 if unknown. recent is the mean of the
+	// last few.
+	base, recent float64
+	// last is the time of the last response, and slowed the shorter one of the last two.
+	last, slowed float64
+	// calmResponses is the number of responses while not limited, up to enoughCalm.
+	calmResponses int
+	// served and arrived count recent responses and requests, each weighted by its age.
+	served, arrived float64
+	// growth is growthPerSecond of this instance.
+	growth    float64
+	updatedAt time.Time
+	lastBadAt time.Time
+	refusedAt time.Time
+}
+
+// advance accounts for the time since the last update.
+func (l *limiter) advance(now time.Time) {
+	step := min(now.Sub(l.updatedAt), maxStep).Seconds()
+	l.updatedAt = now
+	if step <= 0 {
+		return
+	}
+	retained := math.Exp(-step / evidenceRetention)
+	l.evidence *= retained
+	l.missing *= retained
+	retained = math.Exp(-step / goodputWindow)
+	l.served *= retained
+	l.arrived *= retained
+	l.teams.age(step)
+	if l.limited {
+		quiet := max(0, now.Sub(l.lastBadAt).Seconds())
+		l.rate *= 1 + step*l.growth*quiet
+		l.level = min(l.level+l.rate*step, l.teams.maxNeed()+1+l.rate*burstSeconds)
+	}
+}
+
+// admit reports whether a request may be sent.
+func (l *limiter) admit(team string, now time.Time) bool {
+	l.advance(now)
+	l.arrived++
+	admitted := !l.limited || l.level >= l.teams.uses[team].need()
+	l.teams.add(team, admitted)
+	switch {
+	case !admitted:
+		l.refusedAt = now
+	case l.limited:
+		l.level--
+	}
+	return admitted
+}
+
+// observe changes the state after an attempt.
+func (l *limiter) observe(objective time.Duration, result target.Result, elapsed time.Duration, now time.Time) Change {
+	l.advance(now)
+	switch {
+	case result == target.Cancelled:
+		return Unchanged
+	case result == target.Unreachable:
+		l.missing = missingEvidence
+		return Unchanged
+	case result != target.OK:
+		l.addBad(1, now)
+	default:
+		l.observeResponse(objective, elapsed, now)
+	}
+	if l.limited {
+		l.correct(objective, result, elapsed, now)
+		return l.end(now)
+	}
+	return l.begin(objective)
+}
+
+func (l *limiter) addBad(evidence float64, now time.Time) {
+	l.evidence += evidence
+	l.lastBadAt = now
+}
+
+// observeResponse records the time of a complete response.
+func (l *limiter) observeResponse(objective, elapsed time.Duration, now time.Time) {
+	t := elapsed.Seconds()
+	l.served++
+	l.recent += recentWeight * (t - l.recent)
+	l.slowed, l.last = min(l.last, t), t
+	if elapsed > objective {
+		l.addBad(lateEvidence, now)
+		return
+	}
+	l.evidence = max(0, l.evidence-goodOffset)
+	l.learnBase(t)
+}
+
+// learnBase learns the usual response time from calm responses. An instance that started during an overload has none and
+// takes the shortest times for usual.
+func (l *limiter) learnBase(t float64) {
+	switch {
+	case l.base == 0:
+		l.base = t
+	case !l.limited:
+		l.calmResponses = min(l.calmResponses+1, enoughCalm)
+		l.base += max(baseWeight, 1/float64(l.calmResponses+1)) * (t - l.base)
+	case l.calmResponses < enoughCalm/4 && t < l.base:
+		l.base += shortestWeight * (t - l.base)
+	}
+}
+
+// setpoint returns the mean response time in seconds at which the rate does not change.
+func (l *limiter) setpoint(objective time.Duration) float64 {
+	return l.base + setpointFraction*max(0, objective.Seconds()-l.base)
+}
+
+// slowness returns the evidence from the times of the last two responses. One alone may be slow because of its own work.
+func (l *limiter) slowness(objective time.Duration) float64 {
+	setpoint := l.setpoint(objective)
+	span := objective.Seconds() - setpoint
+	if span <= 0 {
+		return 0
+	}
+	return min(maxSlowness, max(0, slownessWeight*(l.slowed-setpoint)/span))
+}
+
+// begin limits the service if there is enough evidence.
+func (l *limiter) begin(objective time.Duration) Change {
+	if l.evidence < minEvidence || l.evidence+l.missing+l.slowness(objective) < triggerEvidence {
+		return Unchanged
+	}
+	l.limited = true
+	// The served requests are this instance's share of what the targets can run.
+	l.rate = max(minRate, l.served/goodputWindow)
+	l.level = l.teams.levelFor(l.rate / max(l.rate, l.arrived/goodputWindow))
+	return Began
+}
+
+// correct changes the rate in proportion to the error of one response.
+func (l *limiter) correct(objective time.Duration, result target.Result, elapsed time.Duration, now time.Time) {
+	e := refusedError
+	if result == target.OK {
+		e = min(maxError, (elapsed.Seconds()-l.setpoint(objective))/objective.Seconds())
+	}
+	if e > 0 {
+		floor := max(minRate, min(l.rate, minGoodput*l.served/goodputWindow))
+		l.rate = max(floor, l.rate-gain*e)
+		return
+	}
+	if l.recent < idleFactor*l.base {
+		e *= idleBoost
+		l.level += idleLift
+	}
+	// A rate that refuses nothing is high enough.
+	if now.Sub(l.refusedAt) < time.Second {
+		l.rate -= gain * e
+	}
+}
+
+// end ends the limit if it has not been needed for some time.
+func (l *limiter) end(now time.Time) Change {
+	if now.Sub(l.lastBadAt) < endAfter || now.Sub(l.refusedAt) < endAfter {
+		return Unchanged
+	}
+	l.limited = false
+	l.evidence = 0
+	return Ended
+}
--- /dev/null
+++ b/internal/pace/pace.go
@@ -0,0 +1,135 @@
+// Package pace decides how many requests an instance sends to a service whose targets are overloaded, and for which
+// teams. It does no I/O and reads no clock.
+//
+// It is designed for 7 to 330 instances that do not communicate. Each of them sees a few requests per second of a
+// service that can run some hundreds, so what one instance sees says little. Each response therefore changes the
+// instance's admission rate by a number of requests per second that does not depend on the number of instances. The
+// sum of all rates then behaves like one controller that sees every response: it falls or grows by the same fraction
+// per second whether 7 or 330 instances share the load.
+package pace
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/egretspar/egretspar/internal/outcome"
+	"github.com/egretspar/egretspar/internal/target"
+)
+
+// Pacer holds the admission rates of all services at one instance. It is safe for concurrent use.
+type Pacer struct {
+	mu       sync.Mutex
+	rng      *rand.Rand
+	services map[string]*limiter
+}
+
+// New returns a Pacer that limits no service yet.
+func New(seed uint64) *Pacer {
+	return &Pacer{rng: rand.New(rand.NewPCG(seed, 0)), services: map[string]*limiter{}}
+}
+
+// Call names the service of a request and what the pace depends on.
+type Call struct {
+	Service string
+	Team    string
+	// Objective is the time within which the response has its full value for the caller.
+	Objective time.Duration
+}
+
+// Change tells how an observation changed the state of a service.
+type Change int
+
+const (
+	// Unchanged means that the service is limited or not as before.
+	Unchanged Change = iota
+	// Began means that the service is limited from now on.
+	Began
+	// Ended means that the service is no longer limited.
+	Ended
+)
+
+// Status describes the limit of a service for logs and metrics.
+type Status struct {
+	// Rate is the admission rate of this instance in requests per second.
+	Rate float64
+	// Evidence counts recent bad responses, less what good ones take back, and Missing targets that cannot be reached.
+	Evidence, Missing float64
+	// Recent is the mean time of the last few responses.
+	Recent time.Duration
+	// Setpoint is the mean response time at which the rate does not change.
+	Setpoint time.Duration
+}
+
+// Admit returns nil if the request may be sent to a target, or its refusal.
+func (p *Pacer) Admit(c Call, now time.Time) *outcome.Refusal {
+	if c.Objective <= 0 {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.service(c.Service, now).admit(c.Team, now) {
+		return nil
+	}
+	refusal := outcome.Refuse(outcome.Overloaded)
+	refusal.RetryAfter = p.retryAfter(c.Objective)
+	return refusal
+}
+
+// Observe records the result of an attempt that was admitted.
+func (p *Pacer) Observe(c Call, result target.Result, elapsed time.Duration, now time.Time) (Change, Status) {
+	if c.Objective <= 0 {
+		return Unchanged, Status{}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.service(c.Service, now)
+	change := l.observe(c.Objective, result, elapsed, now)
+	return change, Status{
+		Rate: l.rate, Evidence: l.evidence, Missing: l.missing, Recent: seconds(l.recent), Setpoint: seconds(l.setpoint(c.Objective)),
+	}
+}
+
+// Limited returns the number of services that are limited.
+func (p *Pacer) Limited() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var n int64
+	for _, l := range p.services {
+		if l.limited {
+			n++
+		}
+	}
+	return n
+}
+
+func (p *Pacer) service(name string, now time.Time) *limiter {
+	l := p.services[name]
+	if l == nil {
+		// Instances that grow at different speeds do not reach the limit at the same moment.
+		l = &limiter{growth: growthPerSecond * (0.5 + p.rng.Float64()), teams: teamUses{uses: map[string]teamUse{}}, updatedAt: now}
+		p.services[name] = l
+	}
+	return l
+}
+
+const (
+	// minRetryAfter and maxRetryAfter are parts of the latency objective. A retry after them still has time to be served
+	// within the objective, and the retries of callers that were refused together arrive spread out.
+	minRetryAfter = 0.05
+	maxRetryAfter = 0.2
+)
+
+// RetryAfter returns when a caller that was refused for lack of places should try again, at another instance.
+func (p *Pacer) RetryAfter(objective time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.retryAfter(objective)
+}
+
+func (p *Pacer) retryAfter(objective time.Duration) time.Duration {
+	fraction := minRetryAfter + (maxRetryAfter-minRetryAfter)*p.rng.Float64()
+	return max(time.Millisecond, time.Duration(fraction*float64(objective)))
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
