--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -82,6 +82,9 @@
 	TargetRemoved             Name = "target removed"
 	TargetStays               Name = "target no longer says it leaves"
 	TargetsOrdered            Name = "targets ordered"
+	ServiceLimitBegan         Name = "service overloaded, its requests are limited"
+	ServiceLimitChanged       Name = "limit of an overloaded service"
+	ServiceLimitEnded         Name = "service no longer overloaded"
 	TextListFailed            Name = "stored text not listed, items restart"
 	TextRead                  Name = "stored text read"
 	TextReadFailed            Name = "stored text not read, items restart"
@@ -169,6 +172,9 @@
 	TargetDecodeFailed:        "a target entry could not be decoded and is not used",
 	TargetEntryExpired:        "a target's entry vanished near an outage of the store; the target is used for 2.2 s more",
 	TargetLeaving:             "a response of `target` to this instance says that it leaves; `service`, `status`",
+	ServiceLimitBegan:         "responses of the targets show more requests than they can run; the inputs are `evidence`, `missing`, `recent`, `setpoint`, `result`; `rate` in requests a second of this instance",
+	ServiceLimitChanged:       "`rate` of a limited service, each second; `recent` and `setpoint` in milliseconds decide whether it grows",
+	ServiceLimitEnded:         "the limit refused nothing and no response was bad for 4 s",
 	TargetLimitBegan:          "a response of `target` to this instance names a limit that it had not named here before; `limit` in requests a second, `status`",
 	TargetLimitDecodeFailed:   "a response of `target` names a limit that is no number; what it named before stays in force",
 	TargetLimitEnded:          "a response of `target` to this instance names its limit no more",
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -173,6 +173,8 @@
 	Deadline time.Time
 	// Claim is set for a non-idempotent request that was recorded before it is forwarded.
 	Claim Claim
+	// RetryAfter returns when the caller should try again after the targets refused the request, if set.
+	RetryAfter func() time.Duration
 	// Began is called when a target's response with status 2xx is about to be forwarded, if set.
 	Began func(target.Target)
 	// Report is called once at the end of the request, if set.
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -45,6 +45,8 @@
 	// nextReservation is the slot for the next attempt. It is reserved before the response of the current
 	// attempt is discarded.
 	nextReservation target.Reservation
+	// responseStarted is called for a response that is forwarded as it arrives.
+	responseStarted func()
 	// callerDisconnected reports whether a write to the caller failed.
 	callerDisconnected bool
 }
@@ -149,6 +151,7 @@
 	x.writer.setReadDeadline(x.call.Deadline)
 	// Reading the body sends 100 Continue, and a caller that expects it must not get it before the target sends it.
 	if length < 0 || length > maxBufferedRequest || len(x.caller.Trailer) > 0 || x.header["Expect"] != nil {
+		x.route.Untimed = true
 		x.upload = newUpload(x.caller, x.plain.options.StripCredentials, x.writer.controller.SetReadDeadline)
 		return nil
 	}
@@ -171,6 +174,11 @@
 		}
 		chosen := reserved.Target()
 		begin := time.Now()
+		x.responseStarted = func() {
+			if timer, ok := reserved.(target.ResponseTimer); ok {
+				timer.ResponseStarted(time.Since(begin))
+			}
+		}
 		result := x.attempt(ctx, chosen, func(targetResult target.Result) {
 			reserved.Done(targetResult, time.Since(begin))
 		})
@@ -288,13 +296,21 @@
 	}
 	defer response.Body.Close()
 	if x.reportsNotRun(response) {
-		done(target.Refused)
-		return attemptResult{targetResult: target.Refused, retryReason: outcome.RetryRefused, refusalReason: outcome.TargetRefused}
+		result := target.Refused
+		if response.StatusCode == http.StatusMisdirectedRequest {
+			result = target.Misdirected
+		}
+		done(result)
+		return attemptResult{targetResult: result, retryReason: outcome.RetryRefused, refusalReason: outcome.TargetRefused}
 	}
 	x.mayHaveRun = true
 	if x.reserveRetryTarget(response, chosen) {
-		done(target.Refused)
-		return attemptResult{targetResult: target.Refused, retryReason: outcome.RetryRefused}
+		result := target.Refused
+		if response.StatusCode != http.StatusServiceUnavailable {
+			result = target.Failed
+		}
+		done(result)
+		return attemptResult{targetResult: result, retryReason: outcome.RetryRefused}
 	}
 	if x.call.Began != nil && response.StatusCode/100 == 2 {
 		x.call.Began(chosen)
@@ -390,6 +406,9 @@
 // refuse ends the call with a refusal. Its outcome is not_run only if no target can have run the request.
 func (x *exchange) refuse(refusal *outcome.Refusal) {
 	refusal = refusal.WithOutcome(x.refusalOutcome())
+	if x.call.RetryAfter != nil && refusal.Reason == outcome.TargetRefused {
+		refusal.RetryAfter = x.call.RetryAfter()
+	}
 	if refusal.Outcome == outcome.NotRun {
 		x.releaseClaim()
 	}
--- a/internal/pace/limiter.go
+++ b/internal/pace/limiter.go
@@ -58,6 +58,8 @@
 	burstSeconds = 0.15
 	// endAfter is the time without a bad response and a refusal after which a service is no longer limited.
 	endAfter = 4 * time.Second
+	// reportInterval is the least time between two reports of a corrected rate.
+	reportInterval = time.Second
 	// maxStep limits the time that one update accounts for, in case the process was frozen or the clock jumped.
 	maxStep = 2 * time.Second
 )
@@ -86,6 +88,8 @@
 	updatedAt time.Time
 	lastBadAt time.Time
 	refusedAt time.Time
+	// reportedAt is when Corrected was returned last.
+	reportedAt time.Time
 }
 
 // advance accounts for the time since the last update.
@@ -125,24 +129,30 @@
 }
 
 // observe changes the state after an attempt.
-func (l *limiter) observe(objective time.Duration, result target.Result, elapsed time.Duration, now time.Time) Change {
+func (l *limiter) observe(c Call, result target.Result, elapsed time.Duration, now time.Time) Change {
 	l.advance(now)
 	switch {
-	case result == target.Cancelled:
+	case result == target.Misdirected, result == target.Failed, result == target.Cancelled && (c.Untimed || elapsed <= c.Objective):
 		return Unchanged
 	case result == target.Unreachable:
 		l.missing = missingEvidence
 		return Unchanged
-	case result != target.OK:
-		l.addBad(1, now)
+	case result == target.OK && c.Untimed:
+		l.served++
+		return Unchanged
+	case result == target.OK:
+		l.observeResponse(c.Objective, elapsed, now)
+	case result == target.Cancelled:
+		// The caller gave up waiting.
+		l.addBad(lateEvidence, now)
 	default:
-		l.observeResponse(objective, elapsed, now)
+		l.addBad(1, now)
 	}
 	if l.limited {
-		l.correct(objective, result, elapsed, now)
-		return l.end(now)
+		l.correct(c.Objective, result, elapsed, now)
+		return l.endOrReport(now)
 	}
-	return l.begin(objective)
+	return l.begin(c.Objective)
 }
 
 func (l *limiter) addBad(evidence float64, now time.Time) {
@@ -226,12 +236,16 @@
 	}
 }
 
-// end ends the limit if it has not been needed for some time.
-func (l *limiter) end(now time.Time) Change {
-	if now.Sub(l.lastBadAt) < endAfter || now.Sub(l.refusedAt) < endAfter {
-		return Unchanged
+// endOrReport ends the limit if it has not been needed for some time.
+func (l *limiter) endOrReport(now time.Time) Change {
+	switch {
+	case now.Sub(l.lastBadAt) >= endAfter && now.Sub(l.refusedAt) >= endAfter:
+		l.limited = false
+		l.evidence = 0
+		return Ended
+	case now.Sub(l.reportedAt) >= reportInterval:
+		l.reportedAt = now
+		return Corrected
 	}
-	l.limited = false
-	l.evidence = 0
-	return Ended
+	return Unchanged
 }
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -35,6 +35,8 @@
 	Team    string
 	// Objective is the time within which the response has its full value for the caller.
 	Objective time.Duration
+	// Untimed is set if the time of an attempt depends on the caller too.
+	Untimed bool
 }
 
 // Change tells how an observation changed the state of a service.
@@ -45,6 +47,8 @@
 	Unchanged Change = iota
 	// Began means that the service is limited from now on.
 	Began
+	// Corrected means that the rate was corrected; it is returned at most once a second for a service.
+	Corrected
 	// Ended means that the service is no longer limited.
 	Ended
 )
@@ -84,7 +88,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l := p.service(c.Service, now)
-	change := l.observe(c.Objective, result, elapsed, now)
+	change := l.observe(c, result, elapsed, now)
 	return change, Status{
 		Rate: l.rate, Evidence: l.evidence, Missing: l.missing, Recent: seconds(l.recent), Setpoint: seconds(l.setpoint(c.Objective)),
 	}
--- a/internal/retry/breaker.go
+++ b/internal/retry/breaker.go
@@ -83,7 +83,7 @@
 		if isProbe || b.consecutiveBroken >= brokenThreshold {
 			b.trip(isProbe, now)
 		}
-	case target.Refused:
+	case target.Refused, target.Misdirected, target.Failed:
 		b.consecutiveRefusals++
 		if isProbe || b.consecutiveRefusals >= refusalThreshold {
 			b.trip(isProbe, now)
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -30,6 +30,11 @@
 	Service string
 	// Team is the team whose retry budget is charged for retries.
 	Team string
+	// LatencyObjective is the time within which the response has its full value for the caller; 0 means none.
+	LatencyObjective time.Duration
+	// Untimed is set for a request whose caller may still be sending its body, so that the time of its attempts says
+	// nothing about the target.
+	Untimed bool
 	// Prefix holds the hashes of the prompt's leading blocks, shortest prefix first; see engine.PrefixHashes.
 	Prefix []uint64
 	// MinVersion is the oldest weight version that may serve the request; 0 means any.
@@ -66,10 +71,29 @@
 	Unreachable
 	// Broken means that the connection broke after the request was sent.
 	Broken
+	// Misdirected means that a target refused the request because it was meant for another one.
+	Misdirected
+	// Failed means that the target responded that it failed, and the request is sent to another one.
+	Failed
 )
 
+// String returns the name of the result in log lines.
+func (r Result) String() string {
+	names := []string{"ok", "cancelled", "refused", "unreachable", "broken", "misdirected", "failed"}
+	if r < 0 || int(r) >= len(names) {
+		return "unknown"
+	}
+	return names[r]
+}
+
 // Reservation is one reserved slot of a target. Done releases the slot and must be called exactly once.
 type Reservation interface {
 	Target() Target
 	Done(result Result, elapsed time.Duration)
 }
+
+// ResponseTimer is implemented by reservations that tell the target's time from that of a slow caller.
+type ResponseTimer interface {
+	// ResponseStarted is called before Done with the time until the header of a response that is forwarded as it arrives.
+	ResponseStarted(elapsed time.Duration)
+}
