--- a/internal/batch/items.go
+++ b/internal/batch/items.go
@@ -62,5 +62,11 @@
 		}
 	}
 	job := &Job{}
-	return job, decodeObject(data, job)
+	if err := decodeObject(data, job); err != nil {
+		return nil, err
+	}
+	if s.options.Loaded != nil {
+		s.options.Loaded(job, len(data))
+	}
+	return job, nil
 }
--- a/internal/batch/read.go
+++ b/internal/batch/read.go
@@ -50,6 +50,14 @@
 
 // readResults reads one page of results from position after on. It ends at the first gap in the list.
 func (s *Service) readResults(ctx context.Context, id string, after int) ([]Result, error) {
+	if s.pageReads != nil {
+		select {
+		case s.pageReads <- struct{}{}:
+			defer func() { <-s.pageReads }()
+		case <-ctx.Done():
+			return nil, errors.Wrap(api.ErrUnavailable, "wait for other reads of results")
+		}
+	}
 	rows, _, err := s.options.Store.Range(ctx, resultPrefix(id), resultKey(id, after), maxPageRows)
 	if err != nil {
 		return nil, err
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -80,7 +80,11 @@
 	Rewards       RewardCaller
 	RewardMetrics RewardMetrics
 	Counter       outcome.Counter
-	Log           zerolog.Logger
+	// Loaded is called with each job that is read from the store, and with the size of its encoding; nil means not at all.
+	Loaded func(job *Job, size int)
+	// PageReads limits the pages of results that are read from the store at once; 0 means no limit.
+	PageReads int
+	Log       zerolog.Logger
 	// Now returns the time of a clock that keeps counting while the machine is suspended.
 	Now func() time.Time
 }
@@ -106,7 +110,9 @@
 	rewardLimiters map[string]*reward.Limiter
 	// wake triggers the next round of placement, rewardWake the next round of reward calls.
 	wake, rewardWake chan struct{}
-	draining         bool
+	// pageReads holds a token for each page of results that is being read; nil means that there is no limit.
+	pageReads chan struct{}
+	draining  bool
 	// ownedJobsAt is when this instance last owned a job.
 	ownedJobsAt time.Time
 	// heartbeatSlot is held by the current write of the heartbeat row. departed is set by the last one.
@@ -143,6 +149,9 @@
 		rewardLimiters: map[string]*reward.Limiter{}, heartbeatSlot: make(chan struct{}, 1),
 		wake: make(chan struct{}, 1), rewardWake: make(chan struct{}, 1), cache: newJobCache(),
 	}
+	if options.PageReads > 0 {
+		s.pageReads = make(chan struct{}, options.PageReads)
+	}
 	s.taskCtx, s.cancelTasks = context.WithCancel(context.Background())
 	s.jobFollower = follow.New(follow.Options{Table: jobTable, Source: options.Store, Apply: s.applyJobs, Log: options.Log, Now: options.Now, MaxInterval: follow.UrgentMaxInterval})
 	s.ownerFollower = follow.New(follow.Options{Table: ownerTable, Source: options.Store, Apply: s.applyOwners, Log: options.Log, Now: options.Now, MinInterval: minHeartbeatPollInterval})
--- a/internal/outcome/reasons.go
+++ b/internal/outcome/reasons.go
@@ -44,6 +44,7 @@
 	StepMismatch       Reason = "step_mismatch"
 	StepExpired        Reason = "step_expired"
 	AdminForbidden     Reason = "admin_forbidden"
+	MemoryFull         Reason = "memory_full"
 )
 
 // reasonInfo holds what a refusal contains by default, and its HTTP status code.
@@ -91,6 +92,7 @@
 	StepMismatch:       {NotRun, http.StatusConflict, "a step with this id and another specification is open", 0},
 	StepExpired:        {NotRun, http.StatusGone, "the step was not polled before its deadline", 0},
 	AdminForbidden:     {NotRun, http.StatusUnauthorized, "the operator token is missing or wrong", 0},
+	MemoryFull:         {NotRun, http.StatusServiceUnavailable, "the memory for requests is used up", time.Second},
 }
 
 // Reasons returns every refusal reason in alphabetical order.
