--- /dev/null
+++ b/internal/connlimit/limiter_test.go
@@ -0,0 +1,142 @@
+package connlimit
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// fakeConn is a connection from an address.
+type fakeConn struct {
+	net.Conn
+	address string
+	closed  bool
+	// accepts is the number of bytes that one write takes.
+	accepts int
+}
+
+func (f *fakeConn) RemoteAddr() net.Addr {
+	return &net.TCPAddr{IP: net.ParseIP(f.address), Port: 1}
+}
+
+func (f *fakeConn) Close() error {
+	f.closed = true
+	return nil
+}
+
+func (f *fakeConn) Write(p []byte) (int, error) {
+	if len(p) > f.accepts {
+		return f.accepts, io.ErrShortWrite
+	}
+	return len(p), nil
+}
+
+// Guards against a crowd of one address that keeps others out, and against closing a connection that serves a request or
+// one that has just been opened.
+func TestFullLimiterClosesIdleConnections(t *testing.T) {
+	l := New(func() int { return 4 })
+	start := time.Now()
+	var conns []*fakeConn
+	admit := func(address string, after time.Duration) *conn {
+		f := &fakeConn{address: address}
+		conns = append(conns, f)
+		return l.admit(f, start.Add(after))
+	}
+	light := admit("10.0.0.2", 0)
+	busy := admit("10.0.0.1", 1)
+	busy.requests.Add(1)
+	admit("10.0.0.1", 2)
+	admit("10.0.0.1", 3)
+	if admit("10.0.0.1", 4) == nil || !conns[2].closed {
+		t.Fatal("the longest idle connection of the heaviest address stays open")
+	}
+	if conns[0].closed || conns[1].closed || conns[3].closed {
+		t.Error("another connection was closed")
+	}
+	for c := range l.open {
+		c.requests.Store(1)
+	}
+	if admit("10.0.0.3", 5) != nil {
+		t.Error("a connection was admitted beyond the limit")
+	}
+	light.readingBody.Store(true)
+	light.bodySince.Store(start.UnixNano())
+	if admit("10.0.0.3", stallTime) == nil || !conns[0].closed {
+		t.Error("a connection with a stalled body stays open")
+	}
+	if got := l.Counts(); got.Evicted != 2 || got.Refused != 1 || l.Open() != 4 {
+		t.Errorf("counts %+v, %d open", got, l.Open())
+	}
+}
+
+// Guards against connections that send a body or read a response so slowly that they hold memory without end, and against
+// closing those that only wait for a target.
+func TestSlowConnectionsAreFound(t *testing.T) {
+	l := New(func() int { return 0 })
+	ticksUntilSlow := func(prepare func(*conn), eachTick func(*conn)) int {
+		c := l.admit(&fakeConn{address: "10.0.0.1", accepts: minTickBytes}, time.Now())
+		defer c.Close()
+		prepare(c)
+		for n := range 10 * maxSlowTicks {
+			if len(l.slowConnections()) > 0 {
+				return n
+			}
+			eachTick(c)
+		}
+		return -1
+	}
+	nothing := func(*conn) {}
+	cases := []struct {
+		name              string
+		prepare, eachTick func(*conn)
+		want              int
+	}{
+		{"stalled body", func(c *conn) { c.readingBody.Store(true) }, nothing, maxSlowTicks},
+		{"unread response", func(c *conn) { c.writing.Store(true) }, nothing, maxSlowTicks},
+		{"waits for a target", nothing, nothing, -1},
+		{"steady body", func(c *conn) { c.readingBody.Store(true) }, func(c *conn) {
+			body := &watchedBody{ReadCloser: io.NopCloser(strings.NewReader(strings.Repeat("b", minTickBytes))), conn: c}
+			_, _ = io.Copy(io.Discard, body)
+			c.readingBody.Store(true)
+		}, -1},
+		{"steady response", nothing, func(c *conn) {
+			_, _ = c.Write(make([]byte, minTickBytes))
+			c.writing.Store(true)
+		}, -1},
+	}
+	for _, tc := range cases {
+		if got := ticksUntilSlow(tc.prepare, tc.eachTick); got != tc.want {
+			t.Errorf("%s: slow after %d ticks, want %d", tc.name, got, tc.want)
+		}
+	}
+}
+
+// Guards against a wrapped listener that breaks keep-alive or never counts a closed connection.
+func TestServerWithLimiter(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := New(func() int { return 10 })
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })}
+	l.Apply(server)
+	go func() { _ = server.Serve(l.Listener(inner)) }()
+	for range 3 {
+		response, err := http.Post("http://"+inner.Addr().String(), "text/plain", strings.NewReader("body"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, _ := io.ReadAll(response.Body)
+		response.Body.Close()
+		if string(body) != "body" || l.Open() != 1 {
+			t.Errorf("body %q, %d connections", body, l.Open())
+		}
+	}
+	server.Close()
+	for l.Open() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
