platform: callers change no system header, and small chunked bodies are quarantined

Change: forward.Call has SystemHeader, applied after all removals. A body without a stated length is read ahead for up to 100 ms; if it is whole by then and at most 16 KB long, it has a fingerprint like a body with a length. It is sent, retried and framed as before: an unfinished one is streamed, because its caller may wait for the response.

Conclusion: team, deadline, expected target and request id reach targets as the system sets them. Chunked bodies that take longer than 100 ms or are larger have no fingerprint, as larger bodies with a length have none.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -158,6 +158,9 @@
 	Service   config.Service
 	// Header is the caller's header; nil means the header of the HTTP request. StripCredentials is applied to it again.
 	Header http.Header
+	// SystemHeader holds what the system sets in the header that targets get. Nothing that the caller sends, such as a
+	// Connection header that names one of its fields, changes it; fields without values are removed.
+	SystemHeader http.Header
 	// Path is the escaped path at a plain service and begins with a slash.
 	Path string
 	// Route holds the criteria for picking a target. The forwarder sets its service and adds excluded targets.
--- a/internal/forward/header.go
+++ b/internal/forward/header.go
@@ -67,6 +67,12 @@
 	removeHopByHop(header)
 	removeReserved(header)
 	stripCredentials(header)
+	for name, values := range call.SystemHeader {
+		header.Del(name)
+		for _, value := range values {
+			header.Add(name, value)
+		}
+	}
 	header.Set(idHeader, call.RequestID)
 	if trailers {
 		header.Set("Te", "trailers")
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -32,8 +32,13 @@
 	// body is a small body that was read whole and can be sent again; upload streams any other body.
 	body   []byte
 	upload *upload
-	route  target.Request
-	report Report
+	// prefetch reads the start of a body without a stated length.
+	prefetch *prefetch
+	// uploaded is the body of an upload if uploadedWhole is set.
+	uploaded      []byte
+	uploadedWhole bool
+	route         target.Request
+	report        Report
 	// isOwn is set for a request that this instance makes itself. Such a request is owed, whatever broke under it.
 	isOwn bool
 	// mayHaveRun reports whether a target may have run the request.
@@ -53,6 +58,7 @@
 // panics with http.ErrAbortHandler, so that the caller sees a broken connection and not a truncated response.
 func (p *Plain) ServePlain(w http.ResponseWriter, r *http.Request, call Call) {
 	x := p.newExchange(w, r, call)
+	defer x.endPrefetch()
 	if refusal := x.serve(); refusal != nil {
 		x.refuse(refusal)
 		return
@@ -86,14 +92,18 @@
 	return x.run(ctx)
 }
 
-// fingerprint returns a hash of the request. It returns 0 if the body was not read whole, if there is no quarantine, or
+// fingerprint returns a hash of the request. It returns 0 if the whole body is not known, if there is no quarantine, or
 // if the request is never quarantined.
 func (x *exchange) fingerprint() uint64 {
-	if x.isOwn || x.upload != nil || x.plain.options.Quarantine == nil {
+	if x.isOwn || x.upload != nil && !x.uploadedWhole || x.plain.options.Quarantine == nil {
 		return 0
 	}
 	head := strings.Join([]string{x.caller.Method, x.call.Path, x.caller.URL.RawQuery, ""}, "\x00")
-	return retry.Fingerprint(x.call.Team, x.call.Service.Name, append([]byte(head), x.body...))
+	body := x.body
+	if x.uploadedWhole {
+		body = x.uploaded
+	}
+	return retry.Fingerprint(x.call.Team, x.call.Service.Name, append([]byte(head), body...))
 }
 
 // requestContext returns the context of the call. A claimed request with a deadline is not cancelled when its
@@ -148,10 +158,13 @@
 	}
 	x.writer.setReadDeadline(x.call.Deadline)
 	// Reading the body sends 100 Continue, and a caller that expects it must not get it before the target sends it.
-	if length < 0 || length > maxBufferedRequest || len(x.caller.Trailer) > 0 || x.header["Expect"] != nil {
+	if length > maxBufferedRequest || len(x.caller.Trailer) > 0 || x.header["Expect"] != nil {
 		x.upload = newUpload(x.caller, x.plain.options.StripCredentials, x.writer.controller.SetReadDeadline)
 		return nil
 	}
+	if length < 0 {
+		return x.bufferChunks()
+	}
 	x.body = make([]byte, length)
 	if _, err := io.ReadFull(x.caller.Body, x.body); err != nil {
 		return outcome.Refuse(outcome.CallerDisconnected)
@@ -162,6 +175,34 @@
 	return nil
 }
 
+// bufferChunks reads the start of a body without a stated length. A small body is known before it is sent, so
+// that a request that crashes targets is recognised like one with a length. All are sent as uploads.
+func (x *exchange) bufferChunks() *outcome.Refusal {
+	x.prefetch = startPrefetch(x.caller.Body)
+	body, whole, err := x.prefetch.wait()
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return outcome.Refuse(outcome.RequestTooLarge)
+	case err != nil:
+		return outcome.Refuse(outcome.CallerDisconnected)
+	case !whole:
+		x.upload = newUploadWithoutTrailers(x.prefetch, x.writer.controller.SetReadDeadline)
+		return nil
+	}
+	x.uploadedWhole = true
+	x.uploaded = body
+	x.upload = newUploadWithoutTrailers(bytes.NewReader(body), x.writer.controller.SetReadDeadline)
+	return nil
+}
+
+// endPrefetch ends a read of the body that is still under way.
+func (x *exchange) endPrefetch() {
+	if x.prefetch != nil {
+		x.prefetch.end(x.writer.controller.SetReadDeadline)
+	}
+}
+
 // run tries targets until one of them responds or no further attempt is allowed.
 func (x *exchange) run(ctx context.Context) *outcome.Refusal {
 	for {
--- a/internal/forward/upload.go
+++ b/internal/forward/upload.go
@@ -11,7 +11,7 @@
 // upload streams the caller's body to a target. It stays open after a failed attempt, so that the body can be sent
 // to another target if no part of it was read.
 type upload struct {
-	body io.ReadCloser
+	body io.Reader
 	// readStarted reports whether a part of the body may have been read, so that it cannot be sent again.
 	readStarted atomic.Bool
 	// readFailed reports whether reading the caller's body failed, which is not the target's fault.
@@ -40,6 +40,12 @@
 	return u
 }
 
+// newUploadWithoutTrailers returns an upload of a body that the caller announced without trailers. Trailers that come
+// nevertheless are dropped.
+func newUploadWithoutTrailers(body io.Reader, setReadDeadline func(time.Time) error) *upload {
+	return &upload{body: body, stripCredentials: func(http.Header) {}, setReadDeadline: setReadDeadline}
+}
+
 // stripTrailers removes hop-by-hop headers, reserved headers and credentials from the trailers.
 func (u *upload) stripTrailers() {
 	removeHopByHop(u.trailer)
