--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -143,7 +143,7 @@
 	MetricsServeFailed:        "the metrics address could not be opened",
 	OperatorRowDeleted:        "a row of the operator was deleted",
 	RequestEnded:              "a request ended; `target`, `status`, `outcome`, `reason`, `attempts`, `elapsed`",
-	RequestRefused:            "this instance refused a request; `reason`, configuration `version` and its `age`",
+	RequestRefused:            "this instance refused a request; `reason`, configuration `version` and its `age`, with `memory_full` the `client`'s address, `omitted` lines before this one that exceeded 200 a second",
 	RequestsInterrupted:       "the grace period of a graceful shutdown ended before the last requests did",
 	ReachDecodeFailed:         "another instance's row could not be decoded; requests go through it as its previous row says",
 	ReachWriteFailed:          "other instances do not know yet where this one takes their requests, or whether it reaches targets itself; the write is retried",
--- a/internal/telemetry/async.go
+++ b/internal/telemetry/async.go
@@ -18,6 +18,8 @@
 	// debugDropThreshold is the number of waiting lines from which lines at debug level are dropped, so that the queue
 	// has room for warnings and changes of state.
 	debugDropThreshold = maxQueuedLines / 2
+	// maxQueuedBytes limits the size of all waiting lines, because callers choose the length of some fields.
+	maxQueuedBytes = 2 << 20
 )
 
 // Async writes log lines in a goroutine of its own, so that a log reader that stalls never delays a request. If the
@@ -28,10 +30,12 @@
 	formatter zerolog.ConsoleWriter
 	buffer    bytes.Buffer
 	queue     chan []byte
-	dropped   atomic.Int64
-	done      sync.WaitGroup
-	closeOnce sync.Once
-	stop      chan struct{}
+	// queuedBytes is the size of the lines in queue.
+	queuedBytes atomic.Int64
+	dropped     atomic.Int64
+	done        sync.WaitGroup
+	closeOnce   sync.Once
+	stop        chan struct{}
 }
 
 // NewAsyncLogger returns a logger that writes key=value lines to out in the background, and the writer that it uses.
@@ -58,9 +62,16 @@
 		a.dropped.Add(1)
 		return len(p), nil
 	}
+	size := int64(len(p))
+	if a.queuedBytes.Add(size) > maxQueuedBytes {
+		a.queuedBytes.Add(-size)
+		a.dropped.Add(1)
+		return len(p), nil
+	}
 	select {
 	case a.queue <- append([]byte(nil), p...):
 	default:
+		a.queuedBytes.Add(-size)
 		a.dropped.Add(1)
 	}
 	return len(p), nil
@@ -87,7 +98,10 @@
 const writeBatchBytes = 32 << 10
 
 // formatLine appends a line to buffer. The error is ignored, because all fields that are logged can be formatted.
-func (a *Async) formatLine(line []byte) { _, _ = a.formatter.Write(line) }
+func (a *Async) formatLine(line []byte) {
+	a.queuedBytes.Add(-int64(len(line)))
+	_, _ = a.formatter.Write(line)
+}
 
 func (a *Async) flush() {
 	for more := true; more && a.buffer.Len() < writeBatchBytes; {
--- a/internal/telemetry/async_test.go
+++ b/internal/telemetry/async_test.go
@@ -43,6 +43,24 @@
 	}
 }
 
+// Guards against long fields of callers' requests that fill the memory while nobody reads the log.
+func TestAsyncBoundsBytes(t *testing.T) {
+	out := &blockingWriter{unblock: make(chan struct{})}
+	log, lines := NewAsyncLogger(out, settings.LevelDebug)
+	path := strings.Repeat("p", 60<<10)
+	for range maxQueuedLines {
+		log.Info().Str("path", path).Msg("request refused")
+	}
+	if n := lines.queuedBytes.Load(); n > maxQueuedBytes {
+		t.Errorf("%d bytes wait", n)
+	}
+	close(out.unblock)
+	lines.Close()
+	if n := lines.queuedBytes.Load(); n != 0 {
+		t.Errorf("%d bytes are left", n)
+	}
+}
+
 // BenchmarkAsyncStalled measures the cost of logging a line while nobody reads the log.
 func BenchmarkAsyncStalled(b *testing.B) {
 	out := &blockingWriter{unblock: make(chan struct{})}
