--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -162,7 +162,7 @@
 	OperatorRowDeleted:        "a row of the operator was deleted",
 	PlacementDelayed:          "a round of placement came a second late, because the process was frozen or had no processor time; `jobs` owned",
 	RequestEnded:              "a request ended; `target`, `status`, `outcome`, `reason`, `attempts`, `elapsed`",
-	RequestRefused:            "this instance refused a request; `reason`, configuration `version` and its `age`",
+	RequestRefused:            "this instance refused a request; `reason`, configuration `version` and its `age`, with `memory_full` the `client`'s address, `omitted` lines before this one that exceeded 200 a second",
 	RequestsInterrupted:       "the grace period of a graceful shutdown ended before the last requests did",
 	ReachDecodeFailed:         "another instance's row could not be decoded; requests go through it as its previous row says",
 	ReachWriteFailed:          "other instances do not know yet where this one takes their requests, or whether it reaches targets itself; the write is retried",
