placement: owners that compete divide the slots by demand

Cause: owners learned of each other only through running items, queued items at full engines to get slots, and kept the slots that they had. Engines refused what their queues could not take. Change: heartbeats carry the demand of each route (optional field demand). If slots do not suffice, each route gets a max-min fair share, owners of a route divide it, and spare slots may be used. Beside owners that report demand, an engine gets at most one item beyond its slots, and as many unseen ones as all owners together may start (twice the slots). Owners of earlier builds are met as before.

--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -46,9 +46,12 @@
 	}
 	s.setEngines(jobs, all)
 	sortJobs(jobs)
+	s.mu.Lock()
+	loads := s.routeLoadsLocked()
+	s.mu.Unlock()
 	pause := moveInterval
 	for _, o := range jobs {
-		if s.placeJob(o, targets) {
+		if s.placeJob(o, targets, loads[o.job.poolKey()]) {
 			pause = placeRetryInterval
 		}
 	}
@@ -116,13 +119,17 @@
 	p := s.pools[key]
 	if p == nil {
 		p = placement.NewPool(s.options.Limits)
+		for owner, report := range s.peerReports {
+			report.applyTo(p, key, owner)
+		}
 		s.pools[key] = p
 	}
 	return p
 }
 
 // placeJob starts the items of one job for which engines have free slots. It reports whether items are still pending.
-func (s *Service) placeJob(o *ownedJob, targets map[string]live.Target) bool {
+// loads holds the loads of the routes of the job's pool.
+func (s *Service) placeJob(o *ownedJob, targets map[string]live.Target, loads map[string]placement.RouteLoad) bool {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -134,11 +141,15 @@
 	}
 	pool := s.poolLocked(o.job.poolKey())
 	earlierStepOpen := s.isEarlierStepOpen(o.job)
-	wanted := false
+	load, wanted := loads[o.job.Route], false
+	allowance := pool.Allowance(o.job.Route, loads, now)
 	for _, item := range append([]*itemState(nil), o.progress.pending...) {
 		if item.notBefore.After(now) {
 			continue
 		}
+		if load.Running >= allowance {
+			break
+		}
 		if !wanted {
 			wanted = true
 			s.options.Limits.Want(pool.Limited(o.job.MinVersion), now)
@@ -156,6 +167,7 @@
 			continue
 		}
 		pool.Begin(id, item.item.Group)
+		load.Running++
 		ctx, cancel := context.WithCancel(o.ctx)
 		o.progress.startRun(item, id, now, cancel)
 		run := Run{
@@ -165,6 +177,9 @@
 		s.options.Log.Debug().Str("job", o.job.ID).Str("item", item.item.ID).Str("target", id).Str("software", run.Target.Software).Int("after", run.LastEvent).Msg(event.ItemRunStarted)
 		s.tasks.Go(func() { o.runItem(ctx, item, run) })
 	}
+	if loads != nil {
+		loads[o.job.Route] = load
+	}
 	hasPending := len(o.progress.pending) > 0
 	if !hasPending {
 		o.moveItems(pool, now)
--- a/internal/batch/progress.go
+++ b/internal/batch/progress.go
@@ -381,6 +381,17 @@
 	return all
 }
 
+// runningCount returns the number of items that are running.
+func (p *progress) runningCount() int {
+	n := 0
+	for _, s := range p.items {
+		if s.running {
+			n++
+		}
+	}
+	return n
+}
+
 // segment is the part of an item's text from the event after After up to Last. Versions are those of the text up to
 // Last. Whole is set when the text ends with Last.
 type segment struct {
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -100,6 +100,8 @@
 	owned map[string]*ownedJob
 	// pools holds the placement pools, by service and model.
 	pools map[poolKey]*placement.Pool
+	// peerReports holds the last heartbeat of each other owner, for pools that are created later.
+	peerReports map[string]peerReport
 	// speeds holds the speeds of engines that any owner reported. lastReported is the last engine whose speed this
 	// instance reported.
 	speeds       *placement.SpeedTable
@@ -143,7 +145,7 @@
 	s := &Service{
 		options: options,
 		rows:    map[string]jobRow{}, lastHeartbeat: map[string]time.Time{}, owned: map[string]*ownedJob{},
-		pools: map[poolKey]*placement.Pool{}, starting: map[string]bool{}, speeds: placement.NewSpeedTable(),
+		pools: map[poolKey]*placement.Pool{}, starting: map[string]bool{}, speeds: placement.NewSpeedTable(), peerReports: map[string]peerReport{},
 		rewardLimiters: map[string]*reward.Limiter{}, heartbeatSlot: make(chan struct{}, 1),
 		wake: make(chan struct{}, 1), rewardWake: make(chan struct{}, 1), cache: newJobCache(),
 	}
@@ -243,6 +245,7 @@
 		owner := c.Key[len(ownerTable)+1:]
 		if c.Deleted {
 			delete(s.lastHeartbeat, owner)
+			delete(s.peerReports, owner)
 			continue
 		}
 		received, err := decodeHeartbeat(c.Value)
@@ -253,6 +256,7 @@
 		if received.Departed {
 			// With the zero time, ownerSilence allows an immediate takeover.
 			s.lastHeartbeat[owner] = time.Time{}
+			delete(s.peerReports, owner)
 			continue
 		}
 		s.lastHeartbeat[owner] = now
--- a/internal/batch/takeover.go
+++ b/internal/batch/takeover.go
@@ -38,9 +38,12 @@
 		if !needsHeartbeat {
 			continue
 		}
-		if err := s.writeHeartbeat(ctx, s.measurements()); err != nil {
+		h := s.measurements()
+		if err := s.writeHeartbeat(ctx, h); err != nil {
 			s.options.Log.Debug().Err(err).Msg(event.HeartbeatWriteFailed)
+			continue
 		}
+		s.setAnnounced(h)
 	}
 }
 
@@ -63,6 +66,8 @@
 	Running map[string]int `json:"running,omitempty"`
 	// Speeds is the lasting speed of engines. Owners of earlier builds do not report it.
 	Speeds map[string]engineSpeed `json:"speeds,omitempty"`
+	// Demand is the owner's demand for slots. Owners of earlier builds do not report it.
+	Demand []routeDemand `json:"demand,omitempty"`
 }
 
 func decodeHeartbeat(value string) (heartbeat, error) {
@@ -106,21 +111,27 @@
 			h.Running[id] += n
 		}
 	}
-	h.Speeds = s.ownSpeeds(time.Now())
+	h.Speeds, h.Demand = s.ownSpeeds(time.Now()), s.ownDemandLocked()
 	return h
 }
 
 // applyMeasurements passes the measurements in another owner's heartbeat to the pools. The caller holds the lock.
 func (s *Service) applyMeasurements(owner string, h heartbeat) {
+	now := time.Now()
 	if owner == s.options.Instance {
+		for _, pool := range s.pools {
+			pool.SetReportsArrive(now)
+		}
 		return
 	}
-	s.learnSpeeds(h.Speeds, time.Now())
+	s.learnSpeeds(h.Speeds, now)
 	if len(h.Speeds) == 0 {
 		s.applyEventIntervals(h.EventIntervals)
 	}
-	for _, pool := range s.pools {
-		pool.SetPeerLoad(owner, h.Running, time.Now())
+	report := peerReport{h, now}
+	s.peerReports[owner] = report
+	for key, pool := range s.pools {
+		report.applyTo(pool, key, owner)
 	}
 }
 
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -87,8 +87,10 @@
 	listed         bool
 	running        int
 	runningByGroup map[string]int
-	backoffUntil   time.Time
-	failures       int
+	// announced is the number of running items in the last report of this instance, knownToPeers that in the one before.
+	announced, knownToPeers int
+	backoffUntil            time.Time
+	failures                int
 	// eventInterval is the moving average of the time between two events of one item; 0 means unknown.
 	eventInterval time.Duration
 	measuredAt    time.Time
@@ -193,15 +195,14 @@
 		(!e.Limited || p.limits.MayUse(e.ID, now))
 }
 
-// Place returns the engine with the lowest cost for an item, or false if no engine can accept it. While some engines are
-// limited, the others get no more items than they have slots: an item that waits here can go to a limited one.
+// Place returns the engine with the lowest cost for an item, or false if no engine can accept it.
 func (p *Pool) Place(r Request, now time.Time) (string, bool) {
 	var best *engine
 	var bestCost float64
 	shortest := p.shortestInterval()
 	peerRunning := p.peerRunning(now)
 	for _, e := range p.engineList {
-		if r.Continues && e.Software != r.Software || !p.canAccept(e, r.MinVersion, now) || p.anyLimited && e.running+peerRunning[e.ID] >= e.Slots {
+		if r.Continues && e.Software != r.Software || !p.canAccept(e, r.MinVersion, now) || !p.hasRoom(e, peerRunning) {
 			continue
 		}
 		if e.ID == r.Prefer && e.running+peerRunning[e.ID] < e.Slots {
--- a/internal/placement/uneven_replay_test.go
+++ b/internal/placement/uneven_replay_test.go
@@ -35,6 +35,12 @@
 	engines, owners, steps int
 	noisy                  float64
 	even                   bool
+	// together is set if all owners get their jobs at the same time.
+	together bool
+	// sameItems is set if all owners get the same items, so that only placement makes their step times differ.
+	sameItems bool
+	// oldReports is set if the heartbeats hold no demand, as those of earlier builds.
+	oldReports bool
 	// silentFrom and silentTo bound a time in which no heartbeat arrives.
 	silentFrom, silentTo time.Duration
 }
@@ -102,6 +108,12 @@
 	}
 	for i := range load.owners {
 		o := &unevenOwner{id: i, random: rand.New(rand.NewPCG(7, uint64(i))), pool: NewPool(nil), idle: map[string][]time.Time{}, nextRound: start, nextSubmit: start.Add(unevenJobInterval * time.Duration(i) / time.Duration(load.owners)), nextHeartbeat: start.Add(time.Duration(i) * 40 * time.Millisecond)}
+		if load.sameItems {
+			o.random = rand.New(rand.NewPCG(7, 0))
+		}
+		if load.together {
+			o.nextSubmit = start
+		}
 		o.pool.SetEngines(r.fleet)
 		r.owners = append(r.owners, o)
 	}
@@ -155,12 +167,18 @@
 	if elapsed := r.now.Sub(start); elapsed >= r.silentFrom && elapsed < r.silentTo {
 		return
 	}
-	running := o.pool.Running()
+	running, load := o.pool.Running(), o.load()
+	demand := map[string]int{fmt.Sprint(o.id): load.Demand}
+	if r.oldReports {
+		demand = nil
+	}
+	o.pool.SetAnnounced(running)
 	r.delayed = append(r.delayed, unevenDelivery{r.now.Add(unevenFeedDelay), func() {
 		for _, peer := range r.owners {
 			if peer != o {
-				peer.pool.SetPeerLoad(fmt.Sprint(o.id), running, r.now)
+				peer.pool.SetPeerReport(fmt.Sprint(o.id), running, demand, r.now)
 			}
+			o.pool.SetReportsArrive(r.now)
 		}
 	}})
 }
@@ -195,11 +213,22 @@
 
 func (i *unevenItem) remaining() int { return max(i.estimate-i.eventsDone, i.eventsDone/2, 1) }
 
+func (o *unevenOwner) load() RouteLoad {
+	running := 0
+	for _, n := range o.pool.Running() {
+		running += n
+	}
+	return RouteLoad{Demand: running + len(o.pending), Running: running}
+}
+
 // round places pending items and then moves running ones of jobs without pending items.
 func (r *unevenReplay) round(o *unevenOwner) {
 	var waiting []*unevenItem
 	blocked := false
+	load, route := o.load(), fmt.Sprint(o.id)
+	allowance := o.pool.Allowance(route, map[string]RouteLoad{route: load}, r.now)
 	for _, item := range o.pending {
+		blocked = blocked || load.Running >= allowance
 		if blocked || item.notBefore.After(r.now) {
 			waiting = append(waiting, item)
 			continue
@@ -210,9 +239,13 @@
 			waiting = append(waiting, item)
 			continue
 		}
-		r.send(o, item, id)
+		if !r.send(o, item, id) {
+			waiting = append(waiting, item)
+			continue
+		}
+		load.Running++
 	}
-	o.pending = append(waiting, o.pending[len(o.pending):]...)
+	o.pending = waiting
 	o.nextRound = r.now.Add(150 * time.Millisecond)
 	if len(o.pending) > 0 {
 		o.nextRound = r.now.Add(50 * time.Millisecond)
@@ -245,8 +278,8 @@
 	}
 }
 
-// send opens a connection, or uses an idle one, and queues an item at an engine unless the engine is full.
-func (r *unevenReplay) send(o *unevenOwner, item *unevenItem, id string) {
+// send opens a connection, or uses an idle one, and queues an item at an engine. It reports false if the engine refuses it.
+func (r *unevenReplay) send(o *unevenOwner, item *unevenItem, id string) bool {
 	e := r.engines[id]
 	o.pool.Begin(id, item.group)
 	r.arrivals++
@@ -262,12 +295,12 @@
 		o.pool.End(id, item.group, Refused, r.now)
 		o.idle[id] = append(o.idle[id], r.now)
 		item.avoid, item.notBefore = id, r.now.Add(50*time.Millisecond)
-		o.pending = append(o.pending, item)
-		return
+		return false
 	}
 	item.engine, item.since, item.running, item.measuredAt, item.moveTo = id, r.now, true, time.Time{}, ""
 	item.prefill, item.progress = unevenPrefill+time.Duration(item.eventsDone)*unevenPrefillEvent, 0
 	e.queue = append(e.queue, item)
+	return true
 }
 
 func (r *unevenReplay) leave(item *unevenItem) {
@@ -382,3 +415,25 @@
 		}
 	}
 }
+
+// Guards against owners that fill engines beyond their queues because they do not know of each other, and against owners that
+// keep the slots that others need. The first loads have 0.6 of the slots that the items would take.
+func TestReplayOwners(t *testing.T) {
+	for _, load := range []unevenLoad{
+		{engines: 15, owners: 4, steps: 10},
+		{engines: 30, owners: 8, steps: 10},
+		{engines: 30, owners: 8, steps: 10, together: true},
+		{engines: 30, owners: 8, steps: 10, silentFrom: 10 * time.Second, silentTo: 15 * time.Second},
+		{engines: 60, owners: 8, steps: 10, together: true},
+	} {
+		load.noisy, load.sameItems = 0.15, true
+		r := newUnevenReplay(load)
+		r.run()
+		res := r.result()
+		t.Logf("%+v: %v", load, res)
+		least, most := slices.Min(res.perOwner), slices.Max(res.perOwner)
+		if res.rejected >= 0.01 || float64(most) >= 1.2*float64(least) || res.connections >= 0.45 {
+			t.Errorf("%+v: %v; want rejections below 0.01 and step times within 20%%", load, res)
+		}
+	}
+}
