--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -114,6 +114,8 @@
 	starts *startlimit.Counter
 	// heldStarts counts the rounds of placement in which items waited because of this instance's share of the starts.
 	heldStarts int64
+	// peerReports holds the last heartbeat of each other owner, for pools that are created later.
+	peerReports map[string]peerReport
 	// speeds holds the speeds of engines that any owner reported. lastReported is the last engine whose speed this
 	// instance reported.
 	speeds       *placement.SpeedTable
@@ -163,7 +165,8 @@
 	s := &Service{
 		options: options,
 		rows:    map[string]jobRow{}, lastHeartbeat: map[string]time.Time{}, owned: map[string]*ownedJob{},
-		pools: map[poolKey]*placement.Pool{}, starts: startlimit.NewCounter(time.Now()), starting: map[string]bool{}, speeds: placement.NewSpeedTable(),
+		pools: map[poolKey]*placement.Pool{}, starts: startlimit.NewCounter(time.Now()), starting: map[string]bool{},
+		speeds: placement.NewSpeedTable(), peerReports: map[string]peerReport{},
 		rewardLimiters: map[string]*reward.Limiter{}, heartbeatSlot: make(chan struct{}, 1),
 		wake: make(chan struct{}, 1), rewardWake: make(chan struct{}, 1), cache: newJobCache(),
 	}
@@ -272,6 +275,7 @@
 		owner := c.Key[len(ownerTable)+1:]
 		if c.Deleted {
 			delete(s.lastHeartbeat, owner)
+			delete(s.peerReports, owner)
 			continue
 		}
 		received, err := decodeHeartbeat(c.Value)
@@ -282,6 +286,7 @@
 		if received.Departed {
 			// The zero time allows an immediate takeover.
 			s.lastHeartbeat[owner] = time.Time{}
+			delete(s.peerReports, owner)
 			continue
 		}
 		s.lastHeartbeat[owner] = now
