pace: reward calls follow the pace of targets

Cause: reward calls were sent to targets that had just started like to any other. A request that reached another target than the intended one (421) was answered with the early Retry-After of an overload, although the list of targets needs 0.1 to 0.3 s to become right.

Change: reward calls carry the latency objective of their route and are marked as background requests: they are diverted from limited targets and correct the rates of targets, but are neither refused with the service nor counted for it. The early Retry-After is used only where the target had no room.

Conclusion: the limiter of reward calls itself still bounds the number of running calls; replacing it is not begun.

--- a/internal/batch/reward.go
+++ b/internal/batch/reward.go
@@ -29,6 +29,8 @@
 	// Avoid is a target that must not be used; empty means any target.
 	Avoid    string
 	Deadline time.Time
+	// LatencyObjective is the latency objective of the route, or 0.
+	LatencyObjective time.Duration
 }
 
 // RewardResponse is the outcome of one attempt of a reward call.
@@ -157,6 +159,7 @@
 	item.rewardRunning = true
 	attempt := RewardAttempt{
 		Reward: item.item.Reward, Service: service, Deadline: round.now.Add(item.reward.Timeout(route.LatencyObjective, route.Timeout)),
+		LatencyObjective: route.LatencyObjective,
 	}
 	if round.capacities[service].Targets > 1 {
 		attempt.Avoid = item.rewardTarget
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -173,7 +173,7 @@
 	Deadline time.Time
 	// Claim is set for a non-idempotent request that was recorded before it is forwarded.
 	Claim Claim
-	// RetryAfter returns when the caller should try again after the targets refused the request, if set.
+	// RetryAfter returns when the caller should try again after a target had no room for the request, if set.
 	RetryAfter func() time.Duration
 	// Began is called when a target's response with status 2xx is about to be forwarded, if set.
 	Began func(target.Target)
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -296,12 +296,9 @@
 	}
 	defer response.Body.Close()
 	if x.reportsNotRun(response) {
-		result := target.Refused
-		if response.StatusCode == http.StatusMisdirectedRequest {
-			result = target.Misdirected
-		}
-		done(result)
-		return attemptResult{targetResult: result, retryReason: outcome.RetryRefused, refusalReason: outcome.TargetRefused}
+		result := x.notRunResult(response)
+		done(result.targetResult)
+		return result
 	}
 	x.mayHaveRun = true
 	if x.reserveRetryTarget(response, chosen) {
@@ -318,6 +315,18 @@
 	return x.forwardResponse(ctx, response, done)
 }
 
+// notRunResult returns the result of an attempt that the target refused.
+func (x *exchange) notRunResult(response *http.Response) attemptResult {
+	result := attemptResult{targetResult: target.Refused, retryReason: outcome.RetryRefused, refusalReason: outcome.TargetRefused}
+	switch {
+	case response.StatusCode == http.StatusMisdirectedRequest:
+		result.targetResult = target.Misdirected
+	case x.call.RetryAfter != nil:
+		result.retryAfter = x.call.RetryAfter()
+	}
+	return result
+}
+
 func (x *exchange) maxAttempts() int {
 	if x.call.Attempts > 0 {
 		return x.call.Attempts
@@ -406,9 +415,6 @@
 // refuse ends the call with a refusal. Its outcome is not_run only if no target can have run the request.
 func (x *exchange) refuse(refusal *outcome.Refusal) {
 	refusal = refusal.WithOutcome(x.refusalOutcome())
-	if x.call.RetryAfter != nil && refusal.Reason == outcome.TargetRefused {
-		refusal.RetryAfter = x.call.RetryAfter()
-	}
 	if refusal.Outcome == outcome.NotRun {
 		x.releaseClaim()
 	}
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -36,6 +36,9 @@
 	Team    string
 	// Objective is the time within which the response has its full value for the caller.
 	Objective time.Duration
+	// Background is set for a request that has a limiter of its own: it follows the pace of targets, but is neither limited
+	// with the service nor counted for it.
+	Background bool
 	// Untimed is set if the time of an attempt depends on the caller too.
 	Untimed bool
 }
@@ -68,7 +71,7 @@
 
 // Admit returns nil if the request may be sent to a target, or its refusal.
 func (p *Pacer) Admit(c Call, now time.Time) *outcome.Refusal {
-	if c.Objective <= 0 {
+	if c.Objective <= 0 || c.Background {
 		return nil
 	}
 	p.mu.Lock()
@@ -128,6 +131,9 @@
 		l.targetReturned(now)
 	}
 	t.observe(c, result, elapsed, l.base, p.rng.Float64(), now)
+	if c.Background {
+		return Unchanged, Status{}
+	}
 	change := l.observe(c, result, elapsed, now)
 	return change, Status{
 		Rate: l.rate, Evidence: l.evidence, Missing: l.missing, Recent: seconds(l.recent), Setpoint: seconds(l.setpoint(c.Objective)),
