connlimit: no work on a request while earlier responses are unsent; item reads one at a time

Cause: requests sent ahead were worked on until the kernel's buffers were full, which grow to megabytes for each connection. Each call for an item of a job that is not in memory read the whole job from the store.

Conclusion: the kernel memory of a client that reads nothing is bounded.

--- a/internal/batch/read.go
+++ b/internal/batch/read.go
@@ -100,6 +100,13 @@
 	if _, err := s.rowForTeam(ctx, id, team); err != nil {
 		return nil, err
 	}
+	// One caller reads at a time: jobs may be large, and those who wait often want the same one.
+	select {
+	case s.itemRead <- struct{}{}:
+		defer func() { <-s.itemRead }()
+	case <-ctx.Done():
+		return nil, errors.Wrap(api.ErrUnavailable, "wait for another read of items")
+	}
 	job, err := s.jobWithItems(ctx, id)
 	if err != nil {
 		return nil, err
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -112,7 +112,9 @@
 	wake, rewardWake chan struct{}
 	// pageReads holds a token for each page of results that is being read; nil means that there is no limit.
 	pageReads chan struct{}
-	draining  bool
+	// itemRead is held while an item is looked up for a caller, which may read the job from the store.
+	itemRead chan struct{}
+	draining bool
 	// ownedJobsAt is when this instance last owned a job.
 	ownedJobsAt time.Time
 	// heartbeatSlot is held by the current write of the heartbeat row. departed is set by the last one.
@@ -148,6 +150,7 @@
 		pools: map[poolKey]*placement.Pool{}, starting: map[string]bool{},
 		rewardLimiters: map[string]*reward.Limiter{}, heartbeatSlot: make(chan struct{}, 1),
 		wake: make(chan struct{}, 1), rewardWake: make(chan struct{}, 1), cache: newJobCache(),
+		itemRead: make(chan struct{}, 1),
 	}
 	if options.PageReads > 0 {
 		s.pageReads = make(chan struct{}, options.PageReads)
--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -1,15 +1,24 @@
 package connlimit
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"github.com/egretspar/egretspar/internal/wait"
 )
 
-// writePart is the largest part of a response that is written at once, so that progress shows.
-const writePart = 64 << 10
+const (
+	// writePart is the largest part of a response that is written at once, so that progress shows.
+	writePart = 64 << 10
+	// maxUnsentBytes is how much of earlier responses a client may not have received when its next request is served.
+	maxUnsentBytes = 64 << 10
+	// unsentInterval is the time between two looks at a client that does not receive its responses.
+	unsentInterval = 5 * time.Millisecond
+)
 
 type connKey struct{}
 
@@ -28,6 +37,7 @@
 	readingBody atomic.Bool
 	bodySince   atomic.Int64
 	writing     atomic.Bool
+	closed      atomic.Bool
 	// transferred is the number of bytes of bodies read and of responses written.
 	transferred atomic.Int64
 
@@ -85,6 +95,7 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
+	c.closed.Store(true)
 	c.limiter.remove(c)
 	return c.Conn.Close()
 }
@@ -99,6 +110,9 @@
 		}
 		c.requests.Add(1)
 		defer c.endRequest()
+		if !c.waitUntilReceived(r.Context()) {
+			panic(http.ErrAbortHandler)
+		}
 		if r.Body != nil && r.Body != http.NoBody {
 			r.Body = &watchedBody{ReadCloser: r.Body, conn: c}
 		}
@@ -106,6 +120,26 @@
 	})
 }
 
+// waitUntilReceived waits until the client has received most of the earlier responses. It returns false if the connection is
+// closed before; Run closes it if the client receives too little.
+func (c *conn) waitUntilReceived(ctx context.Context) bool {
+	unsent := unsentBytes(c.Conn)
+	if unsent <= maxUnsentBytes {
+		return true
+	}
+	c.writing.Store(true)
+	defer c.writing.Store(false)
+	for unsent > maxUnsentBytes {
+		if !wait.Sleep(ctx, unsentInterval) || c.closed.Load() {
+			return false
+		}
+		left := unsentBytes(c.Conn)
+		c.transferred.Add(int64(unsent - left))
+		unsent = left
+	}
+	return true
+}
+
 // endRequest notes that the request has been served.
 func (c *conn) endRequest() {
 	c.idleSince.Store(time.Now().UnixNano())
--- a/internal/connlimit/limiter_test.go
+++ b/internal/connlimit/limiter_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -140,3 +142,43 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// Guards against a client that sends many requests ahead, reads no response and makes the server work on all of them.
+func TestUnreadResponsesHoldBackRequests(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const responseBytes, requests = 4 << 10, 2000
+	var served atomic.Int64
+	finished := make(chan struct{})
+	l := New(func() int { return 10 })
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if served.Add(1) == requests {
+			close(finished)
+		}
+		_, _ = w.Write(make([]byte, responseBytes))
+	})}
+	l.Apply(server)
+	go func() { _ = server.Serve(l.Listener(inner)) }()
+	defer server.Close()
+	client, err := (&net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, responseBytes)
+		})
+	}}).Dial("tcp", inner.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	go func() { _, _ = io.WriteString(client, strings.Repeat("GET / HTTP/1.1\r\nHost: h\r\n\r\n", requests)) }()
+	for before := int64(-1); served.Load() == 0 || served.Load() != before; time.Sleep(100 * time.Millisecond) {
+		before = served.Load()
+	}
+	// The client's and the server's buffers hold the responses that were sent.
+	if n := served.Load(); n > (maxUnsentBytes+64<<10)/responseBytes {
+		t.Errorf("%d requests were served while no response was read", n)
+	}
+	go func() { _, _ = io.Copy(io.Discard, client) }()
+	<-finished
+}
