--- a/internal/batch/fake_test.go
+++ b/internal/batch/fake_test.go
@@ -17,6 +17,7 @@
 	"github.com/egretspar/egretspar/internal/live"
 	"github.com/egretspar/egretspar/internal/outcome"
 	"github.com/egretspar/egretspar/internal/platform/api"
+	"github.com/egretspar/egretspar/internal/startlimit"
 )
 
 const (
@@ -338,6 +339,8 @@
 	// eventCounts counts the events generated for each item; runLog lists all runs.
 	eventCounts map[string]int
 	runLog      []Run
+	// startTimes holds when runs started, by engine.
+	startTimes map[string][]time.Time
 	// eventSize is the minimum size of an event's data, in bytes.
 	eventSize int
 	version   int
@@ -345,7 +348,7 @@
 
 func newFakeRunner() *fakeRunner {
 	return &fakeRunner{
-		eventIntervals: map[string]time.Duration{}, endlessEngines: map[string]bool{}, lengths: map[string]int{}, endings: map[string][]Ending{}, eventCounts: map[string]int{}, version: 1,
+		eventIntervals: map[string]time.Duration{}, endlessEngines: map[string]bool{}, lengths: map[string]int{}, endings: map[string][]Ending{}, eventCounts: map[string]int{}, startTimes: map[string][]time.Time{}, version: 1,
 	}
 }
 
@@ -358,6 +361,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.runLog = append(f.runLog, run)
+	f.startTimes[run.Target.ID] = append(f.startTimes[run.Target.ID], time.Now())
 	interval, length = f.eventIntervals[run.Target.ID], f.lengths[run.Item.ID]
 	if interval == 0 {
 		interval = 40 * time.Millisecond
@@ -482,6 +486,7 @@
 			return all
 		},
 		Rewards: c.scorer, RewardMetrics: noCounter{}, Counter: noCounter{}, Log: zerolog.Nop(), Now: time.Now,
+		ColdBound: startlimit.Bound{Overshoot: 1.5, Slack: 5},
 	})
 	c.wg.Go(func() { _ = n.Run(ctx) })
 	return n
--- a/internal/live/live_test.go
+++ b/internal/live/live_test.go
@@ -130,3 +130,19 @@
 		}
 	}
 }
+
+// Guards against a warm-up that an older statement shortens, or that is forgotten when the description of the new run comes or
+// the target's entry vanishes for a while.
+func TestColdTarget(t *testing.T) {
+	v, now := NewView(), time.Now()
+	v.SetTarget(Target{ID: "e", StartNumber: 1})
+	if !v.ObserveCold("e", 3*time.Second, now) || v.ObserveCold("e", time.Second, now) || v.ObserveCold("unknown", time.Second, now) {
+		t.Error("an older statement, or one of an unknown target, counts as news, or a new one does not")
+	}
+	v.SetTarget(Target{ID: "e", StartNumber: 2, ColdUntil: now.Add(2 * time.Second)})
+	v.RemoveTarget("e")
+	v.SetTarget(Target{ID: "e", StartNumber: 2})
+	if e, _ := v.Target("e"); !e.ColdUntil.Equal(now.Add(3 * time.Second)) {
+		t.Errorf("cold for %v, want 3 s", e.ColdUntil.Sub(now))
+	}
+}
