startlimit: shares hold when all trainers begin together and owners change

Change: the place of a sequence without a job lately gets, for 3 s, at most the part for one of all batch routes (or models) of the configuration. The parts of the budget are 0.55 and 0.28. In the replay an instance without the store accepts no jobs, and overlapping owners settle without that cap. Shares are computed once for each model.

--- a/internal/batch/starts.go
+++ b/internal/batch/starts.go
@@ -50,7 +50,7 @@
 			}
 		}
 		all.byService[name] = servicePlaces{
-			places:    startlimit.NewPlaces(s.options.Instance, s.startJobsLocked(routes), sequences, s.jobFollower.LastSuccess(), all.now),
+			places:    startlimit.NewPlaces(s.options.Instance, s.startJobsLocked(routes), max(sequences, len(service.Models)), s.jobFollower.LastSuccess(), all.now),
 			perSecond: s.options.ColdBound.PerSecond(service.WarmUp.Rate),
 		}
 	}
--- a/internal/startlimit/bound.go
+++ b/internal/startlimit/bound.go
@@ -23,8 +23,8 @@
 const (
 	// assignedFraction is the part of the bound for the owners whose model the target is assigned to, otherFraction that
 	// for all other owners. The rest is for requests that are on their way while owners learn of each other.
-	assignedFraction = 0.6
-	otherFraction    = 0.3
+	assignedFraction = 0.55
+	otherFraction    = 0.28
 )
 
 // budgets returns how many runs the owners of both kinds may start on a target in a second. A bound that is too small for
--- a/internal/startlimit/places.go
+++ b/internal/startlimit/places.go
@@ -15,6 +15,9 @@
 	// settleTime is how long a place counts half that is new, because the other owners may not know it yet, or that had
 	// another owner just before, because that owner may have used its share.
 	settleTime = 1200 * time.Millisecond
+	// freshTime is how long the place of a sequence that had no job lately gets at most an equal part for each sequence that the
+	// configuration provides for: when all trainers begin together, each of their owners first knows only a few others.
+	freshTime = 3 * time.Second
 	// staleAfter is the age of the last read of the job rows from which on a share counts half: other owners may have
 	// appeared since. Rows are read at least every 0.8 s while the table service responds.
 	staleAfter = 2 * time.Second
@@ -50,22 +53,27 @@
 // Places are the owners of a service's jobs that share the bound, as this instance knows them at one time. They are not safe for
 // concurrent use.
 type Places struct {
-	self    string
-	all     []place
-	isFresh map[sequence]bool
+	self string
+	all  []place
+	// isFresh holds the sequences that had no job lately before their current one, isShared those with several owners.
+	isFresh, isShared map[sequence]bool
 	// handedOverAt is when the last job of another owner ended.
 	handedOverAt map[sequence]time.Time
 	// sequences is the number of sequences that the configuration provides for.
 	sequences int
 	readAt    time.Time
-	// counts holds what count has returned.
-	counts map[group]groupCounts
+	// counts holds what count has returned, shares what Share has returned for targets of a model unless places take turns,
+	// which takesTurns tells of the last share.
+	counts     map[group]groupCounts
+	shares     map[string]int
+	takesTurns bool
 }
 
 // NewPlaces returns the places of one service. jobs holds the rows of all jobs of the service, readAt is when they were
-// last read, and sequences is the number of the service's batch routes.
+// last read, and sequences is the number of sequences
+// that the configuration provides for.
 func NewPlaces(self string, jobs []Job, sequences int, readAt, now time.Time) *Places {
-	p := &Places{self: self, isFresh: map[sequence]bool{}, handedOverAt: map[sequence]time.Time{}, sequences: sequences, readAt: readAt, counts: map[group]groupCounts{}}
+	p := &Places{self: self, isFresh: map[sequence]bool{}, isShared: map[sequence]bool{}, handedOverAt: map[sequence]time.Time{}, sequences: sequences, readAt: readAt, counts: map[group]groupCounts{}, shares: map[string]int{}}
 	open, ended := map[place]Job{}, map[sequence]bool{}
 	for _, j := range jobs {
 		s := sequence{j.Route, j.Model}
@@ -95,8 +103,7 @@
 		}
 	}
 	for s, owners := range occupied {
-		// The other owners count a sequence that had a job lately.
-		p.isFresh[s] = owners > 1 || !ended[s]
+		p.isFresh[s], p.isShared[s] = owners == 1 && !ended[s], owners > 1
 	}
 	slices.SortFunc(p.all, func(a, b place) int {
 		return cmp.Or(cmp.Compare(a.route, b.route), cmp.Compare(a.model, b.model), cmp.Compare(a.owner, b.owner))
@@ -104,8 +111,22 @@
 	return p
 }
 
-// Share returns how many runs this instance may start in a second on a target that is assigned to a model.
+// Share returns how many runs this instance may start in a second on a target that is assigned to a model. perSecond and now
+// are the same in all calls.
 func (p *Places) Share(target, model string, perSecond float64, now time.Time) int {
+	if share, ok := p.shares[model]; ok {
+		return share
+	}
+	p.takesTurns = false
+	share := p.share(target, model, perSecond, now)
+	if !p.takesTurns {
+		p.shares[model] = share
+	}
+	return share
+}
+
+// share computes the result of Share.
+func (p *Places) share(target, model string, perSecond float64, now time.Time) int {
 	assigned, others := budgets(perSecond)
 	if others == 0 {
 		return p.shareOf(assigned, target, group{kind: everyPlace}, now)
@@ -156,11 +177,10 @@
 			continue
 		}
 		counts.own++
-		switch {
-		case p.isNew(pl, now):
-			counts.settling++
+		if p.isNew(pl, now) {
 			counts.fresh++
-		case now.Sub(p.handedOverAt[pl.sequence]) < settleTime:
+		}
+		if p.settles(pl, now) {
 			counts.settling++
 		}
 	}
@@ -188,14 +208,22 @@
 	return share
 }
 
-// isNew reports whether the other owners may not count one of this instance's places yet.
+// isNew reports whether one of this instance's places belongs to a sequence that has just begun.
 func (p *Places) isNew(pl place, now time.Time) bool {
-	return now.Sub(pl.ownedSince) < settleTime && p.isFresh[pl.sequence] && !pl.takenOver
+	return p.isFresh[pl.sequence] && !pl.takenOver && now.Sub(pl.ownedSince) < freshTime
+}
+
+// settles reports whether the other owners may not count one of this instance's places yet, or its former owner may have used
+// its share just before.
+func (p *Places) settles(pl place, now time.Time) bool {
+	isUnknown := (p.isFresh[pl.sequence] || p.isShared[pl.sequence]) && !pl.takenOver && now.Sub(pl.ownedSince) < settleTime
+	return isUnknown || now.Sub(p.handedOverAt[pl.sequence]) < settleTime
 }
 
 // turn returns how many of this instance's places may start a run now, if there are more places than permits. The turns
 // of the places differ between targets.
 func (p *Places) turn(budget, places int, target string, g group, now time.Time) int {
+	p.takesTurns = true
 	sinceTurn := time.Duration(now.UnixNano()) % turnTime
 	if sinceTurn < turnMargin || sinceTurn >= turnTime-turnMargin {
 		return 0
--- a/internal/startlimit/simulation_test.go
+++ b/internal/startlimit/simulation_test.go
@@ -107,6 +107,10 @@
 	if s.wanders {
 		owner = s.owners[s.random.IntN(len(s.owners))]
 	}
+	if !owner.cutFrom.IsZero() {
+		// It could not store the job.
+		return
+	}
 	owner.runs = simRuns
 	s.jobs = append(s.jobs, &simJob{Job{Route: name, Model: fmt.Sprint("m", route%s.models), Owner: owner.name, OwnedSince: s.now}, s.now})
 }
