live: a response that says a target is cold changes its state at once

Cause: the age of a target's state was not reset when a response, and not an entry, said that it is cold. Change: such a response stores the target like an entry does.

--- a/internal/live/cold.go
+++ b/internal/live/cold.go
@@ -19,7 +19,7 @@
 	v.runs[id] = r
 	if t, ok := v.targets[id]; ok {
 		t.ColdUntil = until
-		v.targets[id] = t
+		v.put(t, r)
 		v.signalChange()
 	}
 	return true
