--- a/internal/live/view.go
+++ b/internal/live/view.go
@@ -24,7 +24,8 @@
 	Versions map[string]int
 	// StartNumber identifies the current run of the target. It changes when the target restarts; 0 means unknown.
 	StartNumber int64
-	// ColdUntil is when the target has warmed up after a start; the zero time if it is warm. A cold target takes few requests.
+	// ColdUntil is when the target has warmed up after a start; the zero time or a past one if it is warm. A cold target takes
+	// few requests.
 	ColdUntil time.Time
 	// Evacuated targets are in a zone that the operator evacuates. They are Draining too.
 	Evacuated bool
