placement: shares only among routes that compete, and reasons of moves apart

Cause: an owner whose model has engines of its own was bounded by its assigned engines and by owners of other models, although slots of other engines were free; moves from leaving engines were counted as moves to faster ones. New retry reason moved_from_leaving_target and metric egretspar_items_held_back.

--- a/internal/batch/demand.go
+++ b/internal/batch/demand.go
@@ -83,3 +83,14 @@
 		pool.SetAnnounced(h.Running)
 	}
 }
+
+// HeldBackItems returns the number of items that wait because their routes have their shares of the slots.
+func (s *Service) HeldBackItems() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := int64(0)
+	for _, o := range s.owned {
+		n += o.heldBack.Load()
+	}
+	return n
+}
--- a/internal/batch/owned.go
+++ b/internal/batch/owned.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -31,6 +32,8 @@
 	stopped  bool
 	// textLoaded is set after the attempt to load stored texts; no item starts before it.
 	textLoaded bool
+	// heldBack is the number of items that wait because the route has its share of the slots.
+	heldBack atomic.Int64
 }
 
 // startJob starts to run a job whose row this instance wrote with a revision, unless the job has ended, got another owner or
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -12,6 +12,7 @@
 
 	"github.com/egretspar/egretspar/internal/event"
 	"github.com/egretspar/egretspar/internal/live"
+	"github.com/egretspar/egretspar/internal/outcome"
 	"github.com/egretspar/egretspar/internal/placement"
 )
 
@@ -141,13 +142,14 @@
 	}
 	pool := s.poolLocked(o.job.poolKey())
 	earlierStepOpen := s.isEarlierStepOpen(o.job)
-	load, wanted := loads[o.job.Route], false
+	load, wanted, heldBack := loads[o.job.Route], false, 0
 	allowance := pool.Allowance(o.job.Route, loads, now)
 	for _, item := range append([]*itemState(nil), o.progress.pending...) {
 		if item.notBefore.After(now) {
 			continue
 		}
 		if load.Running >= allowance {
+			heldBack = load.Demand - load.Running
 			break
 		}
 		if !wanted {
@@ -177,6 +179,7 @@
 		s.options.Log.Debug().Str("job", o.job.ID).Str("item", item.item.ID).Str("target", id).Str("software", run.Target.Software).Int("after", run.LastEvent).Msg(event.ItemRunStarted)
 		s.tasks.Go(func() { o.runItem(ctx, item, run) })
 	}
+	o.heldBack.Store(int64(heldBack))
 	if loads != nil {
 		loads[o.job.Route] = load
 	}
@@ -224,8 +227,9 @@
 
 // requestMove cancels the item's run so that it continues at the destination of a move.
 func (s *itemState) requestMove(m placement.Move) {
-	s.moveRequested, s.moveTo = true, m.To
+	s.moveRequested, s.moveTo, s.moveReason = true, m.To, outcome.RetryLeavingTarget
 	if !m.Leaving {
+		s.moveReason = outcome.RetryFasterTarget
 		s.leftEngines = append(s.leftEngines, m.From)
 	}
 	s.cancel()
--- a/internal/batch/progress.go
+++ b/internal/batch/progress.go
@@ -51,6 +51,7 @@
 	// moveTo is the destination of a requested move until the next run. leftEngines are those that the item left by moves
 	// to faster ones.
 	moveTo      string
+	moveReason  outcome.RetryReason
 	leftEngines []string
 	// savedEvent is the ID of the last event in a stored segment.
 	savedEvent int
@@ -262,7 +263,7 @@
 		return p.requeue(s, now, now.Add(notRunBackoff), outcome.RetryStale)
 	case Moved:
 		s.avoidEngine = s.engine
-		return p.requeue(s, now, now, outcome.RetryFasterTarget)
+		return p.requeue(s, now, now, s.moveReason)
 	case Broken:
 		s.avoidEngine = s.engine
 		if s.text.Last > s.startEvent {
--- a/internal/outcome/reasons.go
+++ b/internal/outcome/reasons.go
@@ -121,12 +121,13 @@
 	RetrySwapFailed        RetryReason = "weight_swap_failed"
 	RetryPeerUnreachable   RetryReason = "peer_unreachable"
 	RetryFasterTarget      RetryReason = "moved_to_faster_target"
+	RetryLeavingTarget     RetryReason = "moved_from_leaving_target"
 )
 
 // RetryReasons returns every retry reason.
 func RetryReasons() []RetryReason {
 	return []RetryReason{
 		RetryConnect, RetryRefused, RetryResponseLost, RetryBrokenAgain, RetryResume, RetryHedge, RetryStale, RetryUnlabelled,
-		RetryStore, RetryStoreResponseLost, RetrySwapFailed, RetryPeerUnreachable, RetryFasterTarget,
+		RetryStore, RetryStoreResponseLost, RetrySwapFailed, RetryPeerUnreachable, RetryFasterTarget, RetryLeavingTarget,
 	}
 }
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -14,7 +14,7 @@
 	// queuedPerEngine is the number of items that wait at an engine beyond its slots. Reports are up to half a second old, in
 	// which a slot of an engine becomes free.
 	queuedPerEngine = 1
-	// unseenLoad bounds the items per slot that all owners together may start on an engine before they learn of each other.
+	// unseenLoad bounds the items per slot that all owners with items of a model may start together on an engine before they learn of each other.
 	unseenLoad = 2
 )
 
@@ -36,13 +36,13 @@
 	// has to be computed.
 	running    map[string]int
 	nextExpiry time.Time
-	// seen is when each instance reported last. It is kept for maxPeerLoadAge.
-	seen map[string]time.Time
+	// competed is when each instance last reported demand for this pool's model. It is kept for maxPeerLoadAge.
+	competed map[string]time.Time
 	// hasDemand is set if an instance reports its demand.
 	hasDemand bool
 }
 
-func newPeers() peers { return peers{loads: map[string]peerLoad{}, seen: map[string]time.Time{}} }
+func newPeers() peers { return peers{loads: map[string]peerLoad{}, competed: map[string]time.Time{}} }
 
 // SetPeerLoad records how many items another instance runs on each engine. The report expires after peerLoadTTL.
 func (p *Pool) SetPeerLoad(instance string, running map[string]int, now time.Time) {
@@ -53,7 +53,9 @@
 // run there or could run. demand is nil if the instance does not report it.
 func (p *Pool) SetPeerReport(instance string, running, demand map[string]int, now time.Time) {
 	p.peers.loads[instance] = peerLoad{running: running, demand: demand, reportedAt: now}
-	p.peers.seen[instance] = now
+	if len(demand) > 0 {
+		p.peers.competed[instance] = now
+	}
 	p.SetReportsArrive(now)
 }
 
@@ -97,7 +99,7 @@
 	maps.DeleteFunc(p.loads, func(_ string, l peerLoad) bool {
 		return p.latest.Sub(l.reportedAt) > peerLoadTTL || now.Sub(l.reportedAt) > maxPeerLoadAge
 	})
-	maps.DeleteFunc(p.seen, func(_ string, at time.Time) bool { return now.Sub(at) > maxPeerLoadAge })
+	maps.DeleteFunc(p.competed, func(_ string, at time.Time) bool { return now.Sub(at) > maxPeerLoadAge })
 	for _, load := range p.loads {
 		p.hasDemand = p.hasDemand || load.demand != nil
 		for id, n := range load.running {
@@ -125,6 +127,6 @@
 
 // maxUnseen returns how many items of this instance an engine may run that others do not know of.
 func (p *Pool) maxUnseen(e *engine) int {
-	owners := 1 + len(p.peers.seen)
+	owners := 1 + len(p.peers.competed)
 	return max(1, unseenLoad*e.Slots/owners)
 }
--- a/internal/placement/share_test.go
+++ b/internal/placement/share_test.go
@@ -23,6 +23,7 @@
 		{"two others", 0, 200, 26, map[string]int{"other": 200, "third": 200}, 13, 14},
 		{"other owner of the same route", 0, 100, 30, map[string]int{"own": 300}, 10, 10},
 		{"earlier build", 0, 200, 40, nil, 200, 200},
+		{"owner of another model", 40, 200, 0, map[string]int{}, 200, 200},
 	}
 	for _, c := range cases {
 		p := NewPool(nil)
@@ -42,6 +43,18 @@
 	}
 }
 
+// Guards against an owner that leaves slots of engines of other models unused while its own engines are full.
+func TestAllowanceOnOtherEngines(t *testing.T) {
+	p := NewPool(nil)
+	engines := newEngines(4, 8)
+	engines[2].Assigned, engines[3].Assigned, engines[3].Version = false, false, 0
+	p.SetEngines(engines)
+	p.SetPeerReport("peer", map[string]int{"e0": 8, "e2": 3}, map[string]int{"other": 100}, start)
+	if got := p.Allowance("own", map[string]RouteLoad{"own": {Demand: 100}}, start); got != 13 {
+		t.Errorf("%d items allowed, want the share of 8 and 5 free slots", got)
+	}
+}
+
 // Guards against placement as if others had left while the store does not respond, and against slots that are kept for an
 // owner that crashed.
 func TestPeerReportsExpire(t *testing.T) {
