--- a/internal/batch/speeds.go
+++ b/internal/batch/speeds.go
@@ -8,8 +8,9 @@
 	"github.com/egretspar/egretspar/internal/placement"
 )
 
-// maxReportedSpeeds bounds the speeds in one heartbeat. With more engines, successive heartbeats report them in turn.
-const maxReportedSpeeds = 64
+// maxReportedSpeeds bounds the speeds in one heartbeat, because every instance reads all heartbeats. Successive heartbeats report the
+// engines in turn.
+const maxReportedSpeeds = 8
 
 // engineSpeed is the lasting speed of an engine in a heartbeat row.
 type engineSpeed struct {
