pace: equal rates at all instances, no debt from before a limit

Change: what a team had before the limit counts up to the first level only. Each second a rate grows by 0.2 of what the instance is asked for, and the setpoint is lower in return; cuts are in proportion to the rate, so rates become equal. A limit starts at the larger of the responses of 0.5 and 0.2 s. The usual time starts at 0.15 of the objective and is learned in calm only.

--- a/internal/pace/limiter.go
+++ b/internal/pace/limiter.go
@@ -27,15 +27,19 @@
 	maxSlowness    = 1.0
 	// baseWeight is the weight of a response in the usual response time.
 	baseWeight = 0.05
-	// enoughCalm is the number of calm responses after which the usual response time is known. Before, shortestWeight is
-	// the weight of a shorter one.
-	enoughCalm     = 20
-	shortestWeight = 0.2
+	// priorBase is the usual response time, as a part of the objective, before any response.
+	priorBase = 0.15
+	// calmEvidence is the evidence from which responses may have waited for others and do not count as usual. If there never
+	// was a calm response, longerWeight is the weight of a longer one.
+	calmEvidence = 0.2
+	longerWeight = 0.01
 
 	// goodputWindow is the time constant in seconds of the counts of served and of all requests.
 	goodputWindow = 0.5
+	// shortWindow is the time constant in seconds of a second count of served requests, for a crowd that has just begun.
+	shortWindow = 0.2
 	// setpointFraction places the mean response time that the rate aims at between the usual one and the objective.
-	setpointFraction = 0.15
+	setpointFraction = 0.08
 	// gain is the change of the rate, in requests per second, by a response whose time differs from the setpoint by the
 	// objective.
 	gain = 2.3
@@ -51,6 +55,11 @@
 	idleFactor = 1.2
 	idleBoost  = 2.5
 	idleLift   = 0.5
+	// evenGrowth is the growth of the rate per second as a part of what the instance is asked for. Cuts are in proportion to
+	// the rate, so instances that are asked for the same get the same rate in the end.
+	evenGrowth = 0.2
+	// startPart is the least part of the requests that a service is limited to at first.
+	startPart = 0.15
 	// growthPerSecond is the part by which the rate grows in a second without responses, for each second since the last
 	// bad one: slowly near the limit and fast when the limit is long past.
 	growthPerSecond = 0.05
@@ -82,10 +91,14 @@
 	base, recent float64
 	// last is the time of the last response, and slowed the shorter one of the last two.
 	last, slowed float64
-	// calmResponses is the number of responses while not limited, up to enoughCalm.
+	// calmResponses is the number of responses in calm.
 	calmResponses int
 	// served and arrived count recent responses and requests, each weighted by its age.
 	served, arrived float64
+	// wanted is arrived over wantedWindow.
+	wanted float64
+	// servedNow is served over shortWindow.
+	servedNow float64
 	// growth is growthPerSecond of this instance.
 	growth    float64
 	updatedAt time.Time
@@ -109,10 +122,12 @@
 	retained = math.Exp(-step / goodputWindow)
 	l.served *= retained
 	l.arrived *= retained
+	l.wanted *= math.Exp(-step / wantedWindow)
+	l.servedNow *= math.Exp(-step / shortWindow)
 	l.teams.age(step)
 	if l.limited {
 		quiet := max(0, now.Sub(l.lastBadAt).Seconds())
-		l.rate *= 1 + step*l.growth*quiet
+		l.rate += step * (l.growth*quiet*l.rate + evenGrowth*l.wanted/wantedWindow)
 		l.level = min(l.level+l.rate*step, l.teams.maxNeed()+1+l.rate*burstSeconds)
 	}
 }
@@ -121,6 +136,7 @@
 func (l *limiter) admit(team string, now time.Time) bool {
 	l.advance(now)
 	l.arrived++
+	l.wanted++
 	admitted := !l.limited || l.level >= l.teams.uses[team].need()
 	l.teams.add(team, admitted)
 	switch {
@@ -168,6 +184,7 @@
 func (l *limiter) observeResponse(objective, elapsed time.Duration, now time.Time) {
 	t := elapsed.Seconds()
 	l.served++
+	l.servedNow++
 	l.recent += recentWeight * (t - l.recent)
 	l.slowed, l.last = min(l.last, t), t
 	if elapsed > objective {
@@ -175,21 +192,25 @@
 		return
 	}
 	l.evidence = max(0, l.evidence-goodOffset)
-	l.learnBase(t)
+	l.learnBase(t, objective.Seconds())
 }
 
-// learnBase learns the usual response time from calm responses. An instance that started during an overload has none and
-// takes the shortest times for usual.
-func (l *limiter) learnBase(t float64) {
+// learnBase learns the usual response time from calm responses. An instance that had none before the overload learns it
+// from the others, and shorter times count more, because the longer ones have waited.
+func (l *limiter) learnBase(t, objective float64) {
+	if l.base == 0 {
+		l.base = priorBase * objective
+	}
+	weight := baseWeight
 	switch {
-	case l.base == 0:
-		l.base = t
-	case !l.limited:
-		l.calmResponses = min(l.calmResponses+1, enoughCalm)
-		l.base += max(baseWeight, 1/float64(l.calmResponses+1)) * (t - l.base)
-	case l.calmResponses < enoughCalm/4 && t < l.base:
-		l.base += shortestWeight * (t - l.base)
+	case !l.limited && l.evidence+l.missing < calmEvidence:
+		l.calmResponses++
+	case l.calmResponses > 0:
+		return
+	case t > l.base:
+		weight = longerWeight
 	}
+	l.base += weight * (t - l.base)
 }
 
 // setpoint returns the mean response time in seconds at which the rate does not change.
@@ -214,8 +235,9 @@
 	}
 	l.limited = true
 	// The served requests are this instance's share of what the targets can run.
-	l.rate = max(minRate, l.served/goodputWindow)
+	l.rate = max(minRate, l.served/goodputWindow, l.servedNow/shortWindow, startPart*l.arrived/goodputWindow)
 	l.level = l.teams.levelFor(l.rate / max(l.rate, l.arrived/goodputWindow))
+	l.teams.forgive(l.level)
 	return Began
 }
 
--- a/internal/pace/replay_test.go
+++ b/internal/pace/replay_test.go
@@ -279,11 +279,11 @@
 		rest := replayOverload(instances, crowdRest)
 		after, worst := float64(rest.inTime)/float64(sum(rest.sent)), r.worstShare(oneTargetCapacity)
 		t.Logf("%d instances: in time %.3f of the capacity, late %.3f of the served, worst team %.2f of its share; afterwards in time %.3f of all", instances, inTime, late, worst, after)
-		if inTime < 0.9 || late > 0.05 {
-			t.Errorf("%d instances: in time %.3f of the capacity, late %.3f of the served", instances, inTime, late)
+		if inTime < 0.9 || late > 0.05 || after < 0.9 {
+			t.Errorf("%d instances: in time %.3f of the capacity, late %.3f of the served; afterwards in time %.3f", instances, inTime, late, after)
 		}
-		if instances < 330 && (worst < 0.8 || after < 0.9) {
-			t.Errorf("%d instances: a team got %.2f of its share; afterwards in time %.3f", instances, worst, after)
+		if instances < 330 && worst < 0.8 {
+			t.Errorf("%d instances: a team got %.2f of its share", instances, worst)
 		}
 	}
 }
@@ -296,13 +296,10 @@
 	return total
 }
 
-// Guards against small teams that get no part of an overloaded service because each instance sees too little of them, and
-// against limits that last when the overload is over.
-func TestOverloadAt330Instances(t *testing.T) {
-	worst := replayOverload(330, oneTarget).worstShare(oneTargetCapacity)
-	rest := replayOverload(330, crowdRest)
-	if after := float64(rest.inTime) / float64(sum(rest.sent)); worst < 0.8 || after < 0.9 {
-		t.Errorf("a team got %.2f of its share; afterwards in time %.3f of all", worst, after)
+// Guards against small teams that get no part of an overloaded service because each instance sees too little of them.
+func TestFairnessOf330Instances(t *testing.T) {
+	if worst := replayOverload(330, oneTarget).worstShare(oneTargetCapacity); worst < 0.8 {
+		t.Errorf("a team got %.2f of its share", worst)
 	}
 }
 
--- a/internal/pace/teams.go
+++ b/internal/pace/teams.go
@@ -67,6 +67,16 @@
 	}
 }
 
+// forgive lowers the needs above a level to it. What teams had while nothing was scarce does not count against them.
+func (t *teamUses) forgive(level float64) {
+	for team, u := range t.uses {
+		if excess := u.need() - level; excess > 0 {
+			u.admitted = max(0, u.admitted-excess/useWeight)
+			t.uses[team] = u
+		}
+	}
+}
+
 // maxNeed returns the highest need of a team.
 func (t *teamUses) maxNeed() float64 {
 	highest := 0.0
