pace: the first calm responses decide the usual response time

Cause: the usual response time begins at a part of the latency objective and changes by a twentieth with each calm response. Change: a calm response counts like the first assumption, so the mean of the first ones is used.

--- a/internal/pace/limiter.go
+++ b/internal/pace/limiter.go
@@ -205,6 +205,7 @@
 	switch {
 	case !l.limited && l.evidence+l.missing < calmEvidence:
 		l.calmResponses++
+		weight = max(baseWeight, 1/float64(l.calmResponses+1))
 	case l.calmResponses > 0:
 		return
 	case t > l.base:
