connlimit: unfinished heads of requests are bounded

Cause: a connection may hold a head of 64 KB, twice what the bound on callers' connections counts for it.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -38,6 +38,8 @@
 	bodySince   atomic.Int64
 	writing     atomic.Bool
 	closed      atomic.Bool
+	// headBytes is the number of bytes read since the last request ended or the connection was opened.
+	headBytes atomic.Int64
 	// transferred is the number of bytes of bodies read and of responses written.
 	transferred atomic.Int64
 
@@ -69,6 +71,23 @@
 	return c.slowTicks > maxSlowTicks
 }
 
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && c.requests.Load() == 0 {
+		c.headBytes.Add(int64(n))
+		c.limiter.addHeadBytes(int64(n))
+	}
+	return n, err
+}
+
+// resetHead notes that no part of a head is waiting any more.
+func (c *conn) resetHead() {
+	if n := c.headBytes.Swap(0); n > 0 {
+		c.limiter.headBytes.Add(-n)
+	}
+}
+
 // Write implements net.Conn.
 func (c *conn) Write(data []byte) (int, error) {
 	c.writing.Store(true)
@@ -97,6 +116,7 @@
 func (c *conn) Close() error {
 	c.closed.Store(true)
 	c.limiter.remove(c)
+	c.resetHead()
 	return c.Conn.Close()
 }
 
@@ -109,6 +129,7 @@
 			return
 		}
 		c.requests.Add(1)
+		c.resetHead()
 		defer c.endRequest()
 		if !c.waitUntilReceived(r.Context()) {
 			panic(http.ErrAbortHandler)
--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -35,6 +35,9 @@
 // Limiter bounds the connections of one server.
 type Limiter struct {
 	limit func() int
+	// maxHeads returns the bytes that the unfinished heads of all connections may have; 0 means no limit.
+	maxHeads  func() int64
+	headBytes atomic.Int64
 
 	mu        sync.Mutex
 	open      map[*conn]struct{}
@@ -43,10 +46,10 @@
 	evicted, refused, slow atomic.Int64
 }
 
-// New returns a limiter. At each new connection it calls limit for the number of connections that may be open; 0 means
-// no limit.
-func New(limit func() int) *Limiter {
-	return &Limiter{limit: limit, open: map[*conn]struct{}{}, byAddress: map[string]int{}}
+// New returns a limiter. At each new connection it calls limit for the number of connections that may be open, and at each
+// part of a head maxHeads for the bytes that all unfinished heads may have; 0 means no limit.
+func New(limit func() int, maxHeads func() int64) *Limiter {
+	return &Limiter{limit: limit, maxHeads: maxHeads, open: map[*conn]struct{}{}, byAddress: map[string]int{}}
 }
 
 // Open returns the number of open connections.
@@ -148,6 +151,35 @@
 	return since < thanSince
 }
 
+// addHeadBytes notes a part of a head. While the unfinished heads have too many bytes, the connection with the largest is
+// closed.
+func (l *Limiter) addHeadBytes(n int64) {
+	total, limit := l.headBytes.Add(n), l.maxHeads()
+	if limit <= 0 || total <= limit {
+		return
+	}
+	if victim := l.largestHead(); victim != nil {
+		l.evicted.Add(1)
+		_ = victim.Close()
+	}
+}
+
+// largestHead returns the connection with the largest unfinished head, or nil.
+func (l *Limiter) largestHead() *conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var largest *conn
+	for c := range l.open {
+		if c.requests.Load() > 0 || c.headBytes.Load() == 0 {
+			continue
+		}
+		if largest == nil || c.headBytes.Load() > largest.headBytes.Load() {
+			largest = c
+		}
+	}
+	return largest
+}
+
 // remove forgets a connection.
 func (l *Limiter) remove(c *conn) {
 	l.mu.Lock()
--- a/internal/connlimit/limiter_test.go
+++ b/internal/connlimit/limiter_test.go
@@ -29,6 +29,8 @@
 	return nil
 }
 
+func (f *fakeConn) Read(p []byte) (int, error) { return len(p), nil }
+
 func (f *fakeConn) Write(p []byte) (int, error) {
 	if len(p) > f.accepts {
 		return f.accepts, io.ErrShortWrite
@@ -36,10 +38,40 @@
 	return len(p), nil
 }
 
+func noHeadLimit() int64 { return 0 }
+
+// Guards against unfinished heads that fill the memory, and against bytes of heads that count on after the request began or
+// the connection was closed.
+func TestUnfinishedHeadsAreBounded(t *testing.T) {
+	l := New(func() int { return 10 }, func() int64 { return 1000 })
+	read := func(c *conn, n int) { _, _ = c.Read(make([]byte, n)) }
+	var conns []*conn
+	for range 3 {
+		conns = append(conns, l.admit(&fakeConn{address: "10.0.0.1"}, time.Now()))
+	}
+	read(conns[0], 300)
+	read(conns[1], 600)
+	conns[1].requests.Add(1)
+	conns[1].resetHead()
+	read(conns[1], 900)
+	read(conns[2], 700)
+	if l.Open() != 3 {
+		t.Fatal("a connection was closed within the limit")
+	}
+	read(conns[0], 100)
+	if !conns[2].closed.Load() || conns[0].closed.Load() || l.headBytes.Load() != 400 {
+		t.Errorf("closed: %v, %v, %v; %d bytes", conns[0].closed.Load(), conns[1].closed.Load(), conns[2].closed.Load(), l.headBytes.Load())
+	}
+	_ = conns[0].Close()
+	if n := l.headBytes.Load(); n != 0 {
+		t.Errorf("%d bytes count for no connection", n)
+	}
+}
+
 // Guards against a crowd of one address that keeps others out, and against closing a connection that serves a request or
 // one that has just been opened.
 func TestFullLimiterClosesIdleConnections(t *testing.T) {
-	l := New(func() int { return 4 })
+	l := New(func() int { return 4 }, noHeadLimit)
 	start := time.Now()
 	var conns []*fakeConn
 	admit := func(address string, after time.Duration) *conn {
@@ -77,7 +109,7 @@
 // Guards against connections that send a body or read a response so slowly that they hold memory without end, and against
 // closing those that only wait for a target.
 func TestSlowConnectionsAreFound(t *testing.T) {
-	l := New(func() int { return 0 })
+	l := New(func() int { return 0 }, noHeadLimit)
 	ticksUntilSlow := func(prepare func(*conn), eachTick func(*conn)) int {
 		c := l.admit(&fakeConn{address: "10.0.0.1", accepts: minTickBytes}, time.Now())
 		defer c.Close()
@@ -122,7 +154,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := New(func() int { return 10 })
+	l := New(func() int { return 10 }, noHeadLimit)
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })}
 	l.Apply(server)
 	go func() { _ = server.Serve(l.Listener(inner)) }()
@@ -152,7 +184,7 @@
 	const responseBytes, requests = 4 << 10, 2000
 	var served atomic.Int64
 	finished := make(chan struct{})
-	l := New(func() int { return 10 })
+	l := New(func() int { return 10 }, noHeadLimit)
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if served.Add(1) == requests {
 			close(finished)
