batch: log event when a route has its share of the slots

Cause: the gauge egretspar_items_held_back says that items wait, not why. Change: a debug event with running items, demand and allowance when the waiting begins. Result: the tests of internal/event and internal/batch pass; not seen on a deployment. Conclusion: the inputs of the decision are in the log.

--- a/internal/batch/demand.go
+++ b/internal/batch/demand.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/egretspar/egretspar/internal/event"
 	"github.com/egretspar/egretspar/internal/placement"
 )
 
@@ -84,6 +85,15 @@
 	}
 }
 
+// setHeldBack records how many items wait because the route has its share, and logs when that begins.
+func (o *ownedJob) setHeldBack(items int, load placement.RouteLoad, allowance int) {
+	if before := o.heldBack.Swap(int64(items)); before > 0 || items == 0 {
+		return
+	}
+	o.service.options.Log.Debug().Str("job", o.job.ID).Str("route", o.job.Route).Int("items", items).Int("running", load.Running).
+		Int("demand", load.Demand).Int("allowance", allowance).Msg(event.ItemsHeldBack)
+}
+
 // HeldBackItems returns the number of items that wait because their routes have their shares of the slots.
 func (s *Service) HeldBackItems() int64 {
 	s.mu.Lock()
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -180,7 +180,7 @@
 		s.options.Log.Debug().Str("job", o.job.ID).Str("item", item.item.ID).Str("target", id).Str("software", run.Target.Software).Int("after", run.LastEvent).Msg(event.ItemRunStarted)
 		s.tasks.Go(func() { o.runItem(ctx, item, run) })
 	}
-	o.heldBack.Store(int64(heldBack))
+	o.setHeldBack(heldBack, load, allowance)
 	if loads != nil {
 		loads[o.job.Route] = load
 	}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -23,6 +23,7 @@
 	HeartbeatWriteFailed      Name = "heartbeat not written"
 	HistoryLost               Name = "feed history lost, all rows read again"
 	ItemBrokeAgain            Name = "item broke again"
+	ItemsHeldBack             Name = "items held back, their route has its share of the slots"
 	ItemMoved                 Name = "item moved to another engine"
 	ItemReadFailed            Name = "item not read"
 	ItemRestarted             Name = "item begins again, no engine of its version has room"
@@ -116,6 +117,7 @@
 	HeartbeatWriteFailed:      "the store did not accept this owner's heartbeat",
 	HistoryLost:               "the feed cannot continue from the last revision read",
 	ItemBrokeAgain:            "two or more runs of an item in a row broke without a new event; it runs again after `wait`, at the latest when the job's time allows",
+	ItemsHeldBack:             "`items` of the job's `route` wait: it has `running` items and may have `allowance`, its `demand` is larger; logged when it begins",
 	ItemMoved:                 "an item's run was cancelled so that the item continues at another engine; `from`, `to`, `last` event, expected `remaining` events, expected intervals at both engines, `gain` of the step's end and the `price` that it exceeds, or `leaving`",
 	ItemReadFailed:            "a caller's request for the body of an item failed",
 	ItemRestarted:             "the text of an item up to event `last` was dropped: no engine with the version `software` could continue it in the time that it takes to generate it again",
