--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -162,7 +162,8 @@
 		if item.notBefore.After(now) {
 			continue
 		}
-		if load.Running >= allowance {
+		if load.Running >= allowance && item.moveTo == "" {
+			// An item that moves is placed in any case, because its slot has become free.
 			heldBack = load.Demand - load.Running
 			break
 		}
@@ -194,7 +195,7 @@
 		s.options.Log.Debug().Str("job", o.job.ID).Str("item", item.item.ID).Str("target", id).Str("software", run.Target.Software).Int("after", run.LastEvent).Msg(event.ItemRunStarted)
 		s.tasks.Go(func() { o.runItem(ctx, item, run, now) })
 	}
-	o.heldBack.Store(int64(heldBack))
+	o.setHeldBack(heldBack, load, allowance)
 	if loads != nil {
 		loads[o.job.Route] = load
 	}
