cli: check of a configuration before it is put in force

Cause: an operator of the users' platform learns of a mistake in the configuration only from the instances' behaviour: an unknown kind is served as at most once, and a route to a missing service refuses its requests.

Change: `egretspar fleet check FILE [--against FILE]` reports errors, warnings and differences in effect, each with its place and a remedy, as a table or as JSON. Exit code 5 stands for warnings only.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -25,6 +25,7 @@
 	ExitUsage      = 2 // invalid arguments or an invalid file
 	ExitRefused    = 3 // an instance refused the operation
 	ExitNoResponse = 4 // no instance could be reached, or its response was lost
+	ExitWarnings   = 5 // a check found warnings, and no errors
 )
 
 // ExitError carries the exit code of a failed command.
@@ -85,7 +86,7 @@
 	parser, err := kong.New(&c,
 		kong.Name("egretspar"),
 		kong.Description("Rollout service for reinforcement learning: entry instances between callers and targets.\n\n"+
-			"Exit codes: 0 success, 1 failed, 2 invalid arguments or file, 3 refused, 4 no response."),
+			"Exit codes: 0 success, 1 failed, 2 invalid arguments or file, 3 refused, 4 no response, 5 warnings."),
 		kong.Writers(streams.Out, streams.Err),
 		kong.Exit(func(code int) { panic(parserExit(code)) }),
 		kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -15,6 +15,7 @@
 type fleetCommands struct {
 	Run     fleetRunCommand     `cmd:"" default:"1" help:"Run an entry instance (the default)."`
 	Targets fleetTargetsCommand `cmd:"" help:"List the targets that an instance knows, with their states."`
+	Check   fleetCheckCommand   `cmd:"" help:"Check a configuration before it is put in force. Exit code 2: errors, 5: warnings only."`
 }
 
 type fleetRunCommand struct{}
--- a/internal/cli/fleet_test.go
+++ b/internal/cli/fleet_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"path/filepath"
 	"strings"
 	"testing"
 )
@@ -42,3 +43,35 @@
 	expectFailure(t, ExitNoResponse, "status 404", "fleet", "targets", address+"/other")
 	expectFailure(t, ExitUsage, "is not set", "fleet", "run")
 }
+
+// Guards against an exit code that lets a script put a wrong configuration in force.
+func TestFleetCheck(t *testing.T) {
+	clearEnvironment(t)
+	const correct = `{"version":2,"routes":[{"name":"r","host":"h","prefix":"/","kind":"safe","service":"s","max_attempts":1}],"services":[{"name":"s"}]}`
+	directory := t.TempDir()
+	write := func(name, old, replacement string) string {
+		path := filepath.Join(directory, name)
+		writeFile(t, path, strings.Replace(correct, old, replacement, 1))
+		return path
+	}
+	older := write("older", `"version":2`, `"version":1`)
+	for _, c := range []struct {
+		file string
+		code int
+		out  string
+	}{
+		{write("correct", "", ""), ExitOK, "SEVERITY"},
+		{write("changed", `"host":"h"`, `"host":"i"`), ExitOK, `difference  routes[0] "r"`},
+		{write("warning", `"max_attempts":1`, `"max_attempts":0`), ExitWarnings, `warning   routes[0] "r" max_attempts`},
+		{write("error", `"kind":"safe"`, `"kind":"x"`), ExitUsage, `error       routes[0] "r" kind`},
+	} {
+		if code, out, stderr := execute("fleet", "check", c.file, "--against", older); code != c.code || !strings.Contains(out, c.out) {
+			t.Errorf("%s: code %d, output %q, errors %q", c.file, code, out, stderr)
+		}
+	}
+	if code, out, _ := execute("fleet", "check", older, "--output", "json"); code != ExitOK || out != "[]\n" {
+		t.Errorf("code %d, output %q", code, out)
+	}
+	expectFailure(t, ExitUsage, "no such file", "fleet", "check", filepath.Join(directory, "missing"))
+	expectFailure(t, ExitUsage, "compare with is invalid", "fleet", "check", older, "--against", write("empty", correct, "{}"))
+}
