--- a/internal/configcheck/check.go
+++ b/internal/configcheck/check.go
@@ -119,11 +119,11 @@
 
 func (c *checker) checkService(place Place, s live.Share) {
 	if s.Service == "" {
-		c.add(Warning, place.at(Service), "name a service", "the route names no service")
+		c.add(Warning, place.at(ServiceName), "name a service", "the route names no service")
 		return
 	}
 	if _, ok := c.document.Config.Services[s.Service]; !ok {
-		c.add(Warning, place.at(Service), "add the service or name another", "the service %q does not exist", s.Service)
+		c.add(Warning, place.at(ServiceName), "add the service or name another", "the service %q does not exist", s.Service)
 	}
 }
 
@@ -166,7 +166,10 @@
 	}
 }
 
-func (c *checker) checkTargets(place Place, s live.Service) {
+func (c *checker) checkTargets(place Place, s Service) {
+	if s.WarmUpRate < 0 {
+		c.add(Error, place.at(WarmUpRate), "use 0 for no warm-up, or a positive rate", "the rate %g is negative and read as no warm-up", s.WarmUpRate)
+	}
 	if s.WarmUp != nil && s.WarmUp.Duration <= 0 {
 		c.add(Warning, place.at(WarmUpDuration), "set the time for which a target is cold after its start", "cold targets have a rate but no time")
 	}
@@ -212,7 +215,7 @@
 		}
 		if owner, _ := c.document.Config.Authenticate(live.Route{}, key); owner != t.Team {
 			c.add(Error, place.at(Keys), "remove the key from one of the teams, or replace it",
-				"key %s is also in a later entry of team %q, which its requests are counted for", keyHash(key), owner.Name)
+				"key %s is also in a later entry, of team %q, and its requests count as requests of that team", keyHash(key), owner.Name)
 		}
 	}
 }
--- a/internal/configcheck/compare.go
+++ b/internal/configcheck/compare.go
@@ -92,7 +92,7 @@
 func routeProperties(r Route) []property {
 	return []property{
 		{Name, strconv.Quote(r.Name)},
-		{Service, sharesText(r.Shares)},
+		{ServiceName, sharesText(r.Shares)},
 		{Kind, strings.ReplaceAll(string(r.Kind), "_", " ")},
 		{Timeout, max(0, r.Timeout).String()},
 		{LatencyObjective, max(0, r.LatencyObjective).String()},
--- a/internal/configcheck/document.go
+++ b/internal/configcheck/document.go
@@ -15,7 +15,7 @@
 	// Config is the configuration as the instances use it.
 	Config   *live.Config
 	Routes   []Route
-	Services []live.Service
+	Services []Service
 	Teams    []Team
 	// KeysRequired is whether requests of routes that are not public need a key.
 	KeysRequired bool
@@ -29,6 +29,12 @@
 	KindName string
 }
 
+// Service is a service with the rate of its cold targets in the file. A rate that is not positive means no warm-up.
+type Service struct {
+	live.Service
+	WarmUpRate float64
+}
+
 // Team is a team with its keys.
 type Team struct {
 	live.Team
@@ -82,7 +88,7 @@
 	Timeout          Field = "timeout"
 	LatencyObjective Field = "latency objective"
 	Priority         Field = "priority"
-	Service          Field = "service"
+	ServiceName      Field = "service"
 	MaxAttempts      Field = "attempts"
 	ItemTTL          Field = "item lifetime"
 	JobObjective     Field = "job objective"
