platform: entries that wait for a configuration are looked at again

Cause: an engine's entry was checked against the configuration of the moment it was read. That of a service which a later configuration names was rejected and not looked at again until the engine changed it. Entries read before the first configuration were not checked for their service, and a target that had just started without telling cold_left_ms counted as warm.

Conclusion: which of the two rows is read first no longer decides whether a service is served.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -89,6 +89,8 @@
 	revisions map[string]int
 	// catchUps receives the calls of CatchUp that wait for a read of the changes.
 	catchUps chan chan<- error
+	// rereadDue reports that the table is to be read again as a whole.
+	rereadDue atomic.Bool
 	// lastSuccess is the time of the last successful call by Options.Now, in Unix nanoseconds; 0 means none.
 	lastSuccess atomic.Int64
 	// healthySince is the time of the first successful call since the last failure, in the same unit; 0 while calls
@@ -177,9 +179,22 @@
 	return nil
 }
 
-// followFeed reads and applies changes until the feed no longer has the changes after the last revision.
+// Reread makes the follower read the whole table again within LongPoll and the interval between calls, and apply those rows once more
+// whose keys selects returns true for. It must not be called by Options.Apply.
+func (f *Follower) Reread(selects func(key string) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for key := range f.revisions {
+		if selects(key) {
+			f.revisions[key] = 0
+		}
+	}
+	f.rereadDue.Store(true)
+}
+
+// followFeed reads and applies changes until the feed no longer has the changes after the last revision, or a reread is due.
 func (f *Follower) followFeed(ctx context.Context) {
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !f.rereadDue.CompareAndSwap(true, false) {
 		startedAt, revision := time.Now(), f.appliedRevision()
 		longPoll := f.options.LongPoll
 		if f.feedLost {
