pace: the floor of a rate does not count the last response whole

Cause: in a crowd the queue of the remaining target stayed nearly full: median of the responses 111 ms within 4 s at 74 instances, though the limits aim at 30 to 60 ms. One response must not lower the rate below a part of the served requests, and their count is highest just after a response, so the sum of the floors exceeded what the target could run. Change: half a response is taken off for the floor.

--- a/internal/pace/limiter.go
+++ b/internal/pace/limiter.go
@@ -48,6 +48,8 @@
 	maxError     = 0.6
 	// minGoodput is the part of the served requests below which one response does not lower the rate.
 	minGoodput = 0.8
+	// recentServed is taken off the served requests for that. Just after a response their count is above its mean over time.
+	recentServed = 0.5
 	// minRate, in requests per second, lets an instance find out that the overload has ended.
 	minRate = 0.2
 	// idleFactor times the usual response time is a mean of the last responses that shows that nothing waits at the
@@ -249,7 +251,7 @@
 		e = min(maxError, (elapsed.Seconds()-l.setpoint(objective))/objective.Seconds())
 	}
 	if e > 0 {
-		floor := max(minRate, min(l.rate, minGoodput*l.served/goodputWindow))
+		floor := max(minRate, min(l.rate, minGoodput*max(0, l.served-recentServed)/goodputWindow))
 		l.rate = max(floor, l.rate-gain*e)
 		return
 	}
