--- a/internal/pace/limiter.go
+++ b/internal/pace/limiter.go
@@ -48,7 +48,7 @@
 	maxError     = 0.6
 	// minGoodput is the part of the served requests below which one response does not lower the rate.
 	minGoodput = 0.8
-	// recentServed is taken off the served requests for that. Just after a response their count is above its mean over time.
+	// recentServed is taken off the served requests after a response, when their count is above its mean over time.
 	recentServed = 0.5
 	// minRate, in requests per second, lets an instance find out that the overload has ended.
 	minRate = 0.2
@@ -246,12 +246,13 @@
 
 // correct changes the rate in proportion to the error of one response.
 func (l *limiter) correct(objective time.Duration, result target.Result, elapsed time.Duration, now time.Time) {
-	e := refusedError
+	e, served := refusedError, l.served
 	if result == target.OK {
+		served = max(0, served-recentServed)
 		e = min(maxError, (elapsed.Seconds()-l.setpoint(objective))/objective.Seconds())
 	}
 	if e > 0 {
-		floor := max(minRate, min(l.rate, minGoodput*max(0, l.served-recentServed)/goodputWindow))
+		floor := max(minRate, min(l.rate, minGoodput*served/goodputWindow))
 		l.rate = max(floor, l.rate-gain*e)
 		return
 	}
