lease: a former holder does not take a released lease back in turn

Cause: a released lease was free at once for everybody. A holder that released it, was back as a new process and saw its successor stop acted again, after another one, within the lease duration. Receivers take that for two holders at once.

Change: the row names the holders that may have acted within the lease duration, with the time since they did, counted by their successors on their own clocks. Such a holder takes a released lease only once the duration and the clock margin have passed since its own last act. All others, and the last holder itself, take it at once as before. Rows name at most 16 holders.

Conclusion: no two holders act in turns within the lease duration, also across restarts, while all builds have this change.

--- a/internal/lease/candidate.go
+++ b/internal/lease/candidate.go
@@ -48,11 +48,24 @@
 	// duration.
 	DurationMs int64 `json:"duration_ms"`
 	Released   bool  `json:"released,omitempty"`
+	// Former holds other holders that may have acted within the lease duration. An older software version does not know it
+	// and writes rows without it.
+	Former []formerHolder `json:"former,omitempty"`
 	// Token is the token of the commit that wrote the record. After a lost response the writer recognizes its own
 	// record by it.
 	Token string `json:"token"`
 }
 
+// formerHolder is a holder before the one that a record names.
+type formerHolder struct {
+	Holder string `json:"holder"`
+	// AgeMs is the least time since it acted last, when the record was written.
+	AgeMs int64 `json:"age_ms"`
+}
+
+// maxFormerHolders limits the former holders in a row. If there are more within the lease duration, new ones wait.
+const maxFormerHolders = 16
+
 // row is a lease row as read. The zero value means that the row does not exist.
 type row struct {
 	record
@@ -150,6 +163,7 @@
 		Run:        c.run,
 		Term:       c.latest.Term,
 		DurationMs: c.timing.Duration.Milliseconds(),
+		Former:     c.formerHolders(now),
 		Token:      token,
 	}
 	if c.isOwn(c.latest) && !c.latest.Released {
@@ -165,27 +179,38 @@
 // takeoverTime returns the earliest time at which this candidate may take over the lease from another holder or from a
 // former run.
 func (c *candidateState) takeoverTime() time.Time {
-	if c.latest.revision == 0 || c.latest.Released {
+	if c.latest.revision == 0 {
 		return c.latestSince
 	}
+	if c.latest.Released {
+		return c.latestSince.Add(c.turnDelay())
+	}
 	if c.singleProcess && c.latest.Holder == c.holder {
 		// The former run renews no more, but its last sends may still be under way.
 		return c.latestSince.Add(c.timing.stopMargin())
 	}
-	duration := time.Duration(c.latest.DurationMs) * time.Millisecond
-	return c.latestSince.Add(max(duration, c.timing.Duration))
+	return c.latestSince.Add(c.duration())
+}
+
+// duration returns the lease duration that the latest row or this candidate's timing states, the longer one.
+func (c *candidateState) duration() time.Duration {
+	return max(time.Duration(c.latest.DurationMs)*time.Millisecond, c.timing.Duration)
 }
 
+// turnDuration is the time after its last act in which a holder does not act again if another one acted in between.
+func (c *candidateState) turnDuration() time.Duration { return c.duration() + c.timing.ClockMargin }
+
 // stop makes the candidate neither hold nor take the lease from now on.
 func (c *candidateState) stop() { c.stopped = true }
 
 // releaseRecord returns the record that releases the lease, if the row names this candidate as the holder.
-func (c *candidateState) releaseRecord(token string) (record, bool) {
+func (c *candidateState) releaseRecord(now time.Time, token string) (record, bool) {
 	if !c.hasReadRow || !c.isOwn(c.latest) || c.latest.Released {
 		return record{}, false
 	}
 	r := c.latest.record
 	r.Released = true
+	r.Former = c.formerHolders(now)
 	r.Token = token
 	return r, true
 }
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -159,7 +159,7 @@
 // first one would be an old one.
 func (l *Lease) releaseForNow(ctx context.Context) error {
 	l.mu.Lock()
-	next, ok := l.state.releaseRecord(uuid.NewString())
+	next, ok := l.state.releaseRecord(l.opts.Now(), uuid.NewString())
 	isBusy := l.activeGuards > 0
 	expected := l.state.latest.revision
 	l.mu.Unlock()
@@ -309,7 +309,7 @@
 	l.tableMu.Lock()
 	defer l.tableMu.Unlock()
 	l.mu.Lock()
-	next, ok := l.state.releaseRecord(uuid.NewString())
+	next, ok := l.state.releaseRecord(l.opts.Now(), uuid.NewString())
 	expected := l.state.latest.revision
 	l.mu.Unlock()
 	if !ok {
--- a/internal/lease/simulation_test.go
+++ b/internal/lease/simulation_test.go
@@ -53,6 +53,10 @@
 	row         row
 	outageTicks int // remaining ticks of the store outage
 	highestTerm int
+	// actor is the holder that acted last, at lastAct. turnEnds holds when the turn of each former actor ended.
+	actor    string
+	lastAct  time.Duration
+	turnEnds map[string]time.Duration
 }
 
 // localTime returns the time on the candidate's clock.
@@ -72,6 +76,7 @@
 		s.advanceCandidate(n)
 		if _, ok := n.heldTerm(s.localTime(n)); ok {
 			n.lastSendDeadline = n.sendDeadline()
+			s.recordAct(n.holder)
 		}
 	}
 	s.checkSingleHolder()
@@ -148,6 +153,18 @@
 	}
 }
 
+// recordAct fails the test if a holder acts again within the lease duration after another one acted.
+func (s *simulation) recordAct(holder string) {
+	if holder != s.actor {
+		if end, ok := s.turnEnds[holder]; ok && s.now-end < DefaultTiming.Duration {
+			s.t.Fatalf("%s acts again %v after its last act, and %s acted in between", holder, s.now-end, s.actor)
+		}
+		s.turnEnds[s.actor] = s.lastAct
+		s.actor = holder
+	}
+	s.lastAct = s.now
+}
+
 // injectEvent pauses, restarts or releases a candidate, starts a store outage, or does nothing.
 func (s *simulation) injectEvent() {
 	n := rapid.SampledFrom(s.candidates).Draw(s.t, "candidate")
@@ -191,7 +208,7 @@
 		return
 	}
 	n.stop()
-	if r, ok := n.releaseRecord("release"); ok && s.row.revision == n.latest.revision {
+	if r, ok := n.releaseRecord(s.localTime(n), "release"); ok && s.row.revision == n.latest.revision {
 		s.row = row{record: r, revision: s.row.revision + 1}
 	}
 	*n = simulatedCandidate{
@@ -199,12 +216,12 @@
 	}
 }
 
-// Guards against two holders at once. Candidates are paused at any point, clocks differ by 5%, requests arrive late or
+// Guards against two holders at once, and against holders that act in turns within the lease duration. Candidates are paused at any point, clocks differ by 5%, requests arrive late or
 // even twice the lease duration later, responses are lost and store outages outlast the lease.
 func TestNoTwoHoldersAct(t *testing.T) {
 	takeovers := 0
 	rapid.Check(t, func(t *rapid.T) {
-		s := &simulation{t: t}
+		s := &simulation{t: t, turnEnds: map[string]time.Duration{}}
 		singleProcess := rapid.Bool().Draw(t, "singleProcess")
 		for i := range rapid.IntRange(2, 3).Draw(t, "candidates") {
 			rate := rapid.SampledFrom([]float64{0.975, 1, 1.025}).Draw(t, "rate")
