Names and comments that stopped two new readers

Cause: two readers who had not seen the code named the places that stop them: names with two senses (slots, growth, fresh), divisors called fractions, predicates that count, comments that were wrong or lacked the reason. Change: names, comments, named constants; a long constructor of startlimit is two functions; the count of ordered engines skips evacuated zones without sorting. Conclusion: no change of behaviour.

--- a/internal/batch/speeds.go
+++ b/internal/batch/speeds.go
@@ -20,7 +20,8 @@
 	Windows    int   `json:"n"`
 }
 
-// ownSpeeds returns the next part of the speeds that this instance measured, by engine. The caller holds the lock.
+// ownSpeeds returns the speeds that the next heartbeat reports, by engine, and records them in s.speeds. Each call continues
+// after the engines that the last one reported. The caller holds the lock.
 func (s *Service) ownSpeeds(now time.Time) map[string]engineSpeed {
 	all := map[string]placement.Speed{}
 	for _, pool := range s.pools {
--- a/internal/batch/starts.go
+++ b/internal/batch/starts.go
@@ -8,7 +8,7 @@
 	"github.com/egretspar/egretspar/internal/startlimit"
 )
 
-// minCountedDelay is the delay of a run from which on it is counted at the time when it really starts.
+// minCountedDelay is the delay from which on a run is counted at the time when it starts instead of when it was placed.
 const minCountedDelay = 20 * time.Millisecond
 
 // startPlaces holds, for each service with a warm-up, the owners that share the bound of its engines.
--- a/internal/batch/takeover.go
+++ b/internal/batch/takeover.go
@@ -109,7 +109,7 @@
 	now := time.Now()
 	if owner == s.options.Instance {
 		for _, pool := range s.pools {
-			pool.SetReportsArrive(now)
+			pool.RecordReportArrival(now)
 		}
 		return
 	}
@@ -124,8 +124,8 @@
 	}
 }
 
-// applyEventIntervals uses the event intervals of an owner that reports no speeds for engines without a measurement here. The caller holds
-// the lock.
+// applyEventIntervals records the event intervals that an owner of an earlier build reported, for engines that this instance
+// has not measured. The caller holds the lock.
 func (s *Service) applyEventIntervals(intervals map[string]int64) {
 	now := time.Now()
 	for _, pool := range s.pools {
--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -43,7 +43,7 @@
 	// transferred is the number of bytes of bodies read and of responses written.
 	transferred atomic.Int64
 
-	// lastTransferred and slowTicks belong to isTooSlow.
+	// lastTransferred and slowTicks belong to updateSlowTicks.
 	lastTransferred int64
 	slowTicks       int
 }
@@ -58,8 +58,9 @@
 	return since, c.readingBody.Load() && now.UnixNano()-since >= int64(stallTime)
 }
 
-// isTooSlow is called once a tick. It reports whether the connection kept the server waiting in too many consecutive ticks.
-func (c *conn) isTooSlow() bool {
+// updateSlowTicks counts the consecutive ticks in which the connection kept the server waiting, and reports whether they are
+// too many. It is called once a tick.
+func (c *conn) updateSlowTicks() bool {
 	transferred := c.transferred.Load()
 	moved := transferred - c.lastTransferred
 	c.lastTransferred = transferred
--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -210,7 +210,7 @@
 	defer l.mu.Unlock()
 	var slow []*conn
 	for c := range l.open {
-		if c.isTooSlow() {
+		if c.updateSlowTicks() {
 			slow = append(slow, c)
 		}
 	}
--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -19,9 +19,9 @@
 	releaseWait = 100 * time.Millisecond
 	// reclaimInterval is the shortest time between two calls of the reclaim function, which runs the garbage collector.
 	reclaimInterval = time.Second
-	// smallAccountBytes is the size up to which an account may use the reserve, which is the budget's reserveFraction-th part.
+	// smallAccountBytes is the size up to which an account may use the reserve, which is the budget's reserveDivisor-th part.
 	smallAccountBytes = 256 << 10
-	reserveFraction   = 8
+	reserveDivisor    = 8
 )
 
 var (
@@ -217,7 +217,7 @@
 func (b *Budget) fits(a *Account, n int64) bool {
 	limit := b.limit
 	if a.held+n > smallAccountBytes {
-		limit -= b.limit / reserveFraction
+		limit -= b.limit / reserveDivisor
 	}
 	return b.used+n <= limit
 }
--- a/internal/ownership/owner.go
+++ b/internal/ownership/owner.go
@@ -33,7 +33,7 @@
 
 // Capacities compares the processor time of instances.
 type Capacities interface {
-	// IsSmall reports whether an instance is known to have at most half of the processor time of the largest one.
+	// IsSmall reports whether an instance is known to have at most smallFraction of the processor time of the largest one.
 	IsSmall(instance string) bool
 }
 
--- a/internal/pace/limiter.go
+++ b/internal/pace/limiter.go
@@ -16,7 +16,7 @@
 	lateEvidence = 0.25
 	// goodOffset is the evidence that a good response takes back.
 	goodOffset = 0.1
-	// missingEvidence is what a target that cannot be reached adds, because the others get its load.
+	// missingEvidence is the evidence while at least one target cannot be reached, because the others get its load.
 	missingEvidence = 0.7
 	// minEvidence is the evidence from refused and late responses without which nothing is limited.
 	minEvidence = 0.5
@@ -48,7 +48,8 @@
 	maxError     = 0.6
 	// minGoodput is the part of the served requests below which one response does not lower the rate.
 	minGoodput = 0.8
-	// recentServed is taken off the served requests after a response, when their count is above its mean over time.
+	// recentServed is taken off the count of served requests when a response has just raised it by 1: on average, the count is
+	// then about half a request above its mean over time.
 	recentServed = 0.5
 	// minRate, in requests per second, lets an instance find out that the overload has ended.
 	minRate = 0.2
@@ -57,11 +58,14 @@
 	idleFactor = 1.2
 	idleBoost  = 2.5
 	idleLift   = 0.5
-	// evenGrowth is the growth of the rate per second as a part of what the instance is asked for. Cuts are in proportion to
-	// the rate, so instances that are asked for the same get the same rate in the end.
+	// evenGrowth is the growth of the rate per second as a part of what the instance is asked for. A cut by one response does
+	// not depend on the rate, but an instance gets responses in proportion to its rate. Its cuts per second therefore grow with
+	// its rate, so instances that are asked for the same get the same rate in the end.
 	evenGrowth = 0.2
 	// startPart is the least part of the requests that a service is limited to at first.
 	startPart = 0.15
+	// refusalWindow is the time after a refusal within which a fast response raises the rate.
+	refusalWindow = time.Second
 	// growthPerSecond is the part by which the rate grows in a second without responses, for each second since the last
 	// bad one: slowly near the limit and fast when the limit is long past.
 	growthPerSecond = 0.05
@@ -83,25 +87,27 @@
 	limited bool
 	// rate is the admission rate in requests per second, if limited.
 	rate float64
-	// level grows at the rate and falls by one for each admitted request. A team that needs a higher one is refused.
+	// level is a token bucket in requests, if limited: it grows at the rate and falls by one for each admitted request. A
+	// request is admitted if the level is at least the need of its team, so teams with few recent requests come first.
 	level float64
 	teams teamUses
-	// evidence counts recent bad responses, and missing counts targets that could not be reached.
+	// evidence counts recent bad responses. missing is the evidence from targets that cannot be reached: each such attempt sets
+	// it to missingEvidence, however many targets are missing, and it decays like evidence.
 	evidence, missing float64
 	// base is the usual response time in seconds while the service is not limited; 0 if unknown. recent is the mean of the
 	// last few.
 	base, recent float64
-	// last is the time of the last response, and slowed the shorter one of the last two.
-	last, slowed float64
-	// calmResponses is the number of responses in calm.
+	// last is the response time of the last response in seconds, and shorterOfLastTwo the shorter one of the last two.
+	last, shorterOfLastTwo float64
+	// calmResponses is the number of responses that arrived while nothing was limited and there was little evidence.
 	calmResponses int
 	// served and arrived count recent responses and requests, each weighted by its age.
 	served, arrived float64
-	// wanted is arrived over wantedWindow.
+	// wanted counts the same requests as arrived, but with the time constant wantedWindow.
 	wanted float64
-	// servedNow is served over shortWindow.
+	// servedNow counts the same responses as served, but only timed ones and with the time constant shortWindow.
 	servedNow float64
-	// growth is growthPerSecond of this instance.
+	// growth is growthPerSecond times the growth factor of this instance.
 	growth    float64
 	updatedAt time.Time
 	createdAt time.Time
@@ -188,7 +194,7 @@
 	l.served++
 	l.servedNow++
 	l.recent += recentWeight * (t - l.recent)
-	l.slowed, l.last = min(l.last, t), t
+	l.shorterOfLastTwo, l.last = min(l.last, t), t
 	if elapsed > objective {
 		l.addBad(lateEvidence, now)
 		return
@@ -228,7 +234,7 @@
 	if span <= 0 {
 		return 0
 	}
-	return min(maxSlowness, max(0, slownessWeight*(l.slowed-setpoint)/span))
+	return min(maxSlowness, max(0, slownessWeight*(l.shorterOfLastTwo-setpoint)/span))
 }
 
 // begin limits the service if there is enough evidence.
@@ -240,7 +246,7 @@
 	// The served requests are this instance's share of what the targets can run.
 	l.rate = max(minRate, l.served/goodputWindow, l.servedNow/shortWindow, startPart*l.arrived/goodputWindow)
 	l.level = l.teams.levelFor(l.rate / max(l.rate, l.arrived/goodputWindow))
-	l.teams.forgive(l.level)
+	l.teams.capNeeds(l.level)
 	return Began
 }
 
@@ -261,7 +267,7 @@
 		l.level += idleLift
 	}
 	// A rate that refuses nothing is high enough.
-	if now.Sub(l.refusedAt) < time.Second {
+	if now.Sub(l.refusedAt) < refusalWindow {
 		l.rate -= gain * e
 	}
 }
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -61,7 +61,8 @@
 type Status struct {
 	// Rate is the admission rate of this instance in requests per second.
 	Rate float64
-	// Evidence counts recent bad responses, less what good ones take back, and Missing targets that cannot be reached.
+	// Evidence counts recent bad responses, less what good ones take back, and Missing is the evidence from targets that
+	// cannot be reached.
 	Evidence, Missing float64
 	// Recent is the mean time of the last few responses.
 	Recent time.Duration
@@ -107,7 +108,7 @@
 			delete(p.targets, other)
 		}
 	}
-	t = &targetPace{growth: 0.5 + p.rng.Float64(), updatedAt: now}
+	t = &targetPace{growth: p.growthFactor(), updatedAt: now}
 	p.targets[id] = t
 	if l := p.service(c.Service, now); now.Sub(l.createdAt) > newServiceTime {
 		t.start(startShare*l.arrived/goodputWindow, l.base, p.rng.Float64(), now)
@@ -166,21 +167,24 @@
 	return n
 }
 
+// growthFactor returns a random factor between 0.5 and 1.5. Instances that grow at different speeds do not reach the limit at
+// the same moment.
+func (p *Pacer) growthFactor() float64 { return 0.5 + p.rng.Float64() }
+
 func (p *Pacer) service(name string, now time.Time) *limiter {
 	l := p.services[name]
 	if l == nil {
-		// Instances that grow at different speeds do not reach the limit at the same moment.
-		l = &limiter{growth: growthPerSecond * (0.5 + p.rng.Float64()), teams: teamUses{uses: map[string]teamUse{}}, updatedAt: now, createdAt: now}
+		l = &limiter{growth: growthPerSecond * p.growthFactor(), teams: teamUses{uses: map[string]teamUse{}}, updatedAt: now, createdAt: now}
 		p.services[name] = l
 	}
 	return l
 }
 
 const (
-	// minRetryAfter and maxRetryAfter are parts of the latency objective. A retry after them still has time to be served
+	// minRetryFraction and maxRetryFraction are parts of the latency objective. A retry after them still has time to be served
 	// within the objective, and the retries of callers that were refused together arrive spread out.
-	minRetryAfter = 0.03
-	maxRetryAfter = 0.12
+	minRetryFraction = 0.03
+	maxRetryFraction = 0.12
 )
 
 // RetryAfter returns when a caller that was refused for lack of places should try again, at another instance.
@@ -191,7 +195,7 @@
 }
 
 func (p *Pacer) retryAfter(objective time.Duration) time.Duration {
-	fraction := minRetryAfter + (maxRetryAfter-minRetryAfter)*p.rng.Float64()
+	fraction := minRetryFraction + (maxRetryFraction-minRetryFraction)*p.rng.Float64()
 	return max(time.Millisecond, time.Duration(fraction*float64(objective)))
 }
 
--- a/internal/pace/target.go
+++ b/internal/pace/target.go
@@ -34,8 +34,11 @@
 	shorterWeight = 0.1
 	floorWeight   = 0.2
 	floorFactor   = 1.5
-	// wantedWindow is the time constant in seconds of the counts of wanted and of served requests of a target.
+	// wantedWindow is the time constant in seconds of the counts of wanted requests of a service, and of wanted, served and
+	// refused requests of a target.
 	wantedWindow = 2.0
+	// growthPause is the time after a bad response before the rate grows without good responses.
+	growthPause = time.Second
 	// refusalsToBegin is the number of recent refusals that limit a target.
 	refusalsToBegin = 1.5
 	// A limit ends after minLimited if no response was bad for quietToEnd, nor any of the last goodToEnd, and the rate is endFactor
@@ -72,7 +75,7 @@
 	wanted, served, refused float64
 	// good counts the responses since the last bad one.
 	good int
-	// growth is the factor of the growth at this instance.
+	// growth is the growth factor of this instance for the target.
 	growth               float64
 	updatedAt, startedAt time.Time
 	lastBadAt            time.Time
@@ -105,7 +108,7 @@
 	}
 	if quiet := now.Sub(t.lastBadAt); t.lastBadAt.IsZero() {
 		t.rate *= 1 + step*startGrowth*t.growth
-	} else if quiet > time.Second {
+	} else if quiet > growthPause {
 		t.rate *= 1 + step*growthPerSecond*t.growth*min(quiet, endAfter).Seconds()
 	}
 	t.tokens = min(t.tokens+t.rate*step, 1+t.rate*targetBurst)
--- a/internal/pace/teams.go
+++ b/internal/pace/teams.go
@@ -10,7 +10,7 @@
 const (
 	// useRetention is the time constant in seconds with which the requests of a team are forgotten.
 	useRetention = 6.0
-	// agingStep is the time in seconds for which the counts are not aged yet.
+	// agingStep is the least time in seconds between two agings of the counts, because each one visits all teams.
 	agingStep = 0.05
 	// useWeight is how far the level must rise for each recent admitted request of a team.
 	useWeight = 1.5
@@ -67,8 +67,8 @@
 	}
 }
 
-// forgive lowers the needs above a level to it. What teams had while nothing was scarce does not count against them.
-func (t *teamUses) forgive(level float64) {
+// capNeeds lowers the needs above a level to it. What teams had while nothing was scarce does not count against them.
+func (t *teamUses) capNeeds(level float64) {
 	for team, u := range t.uses {
 		if excess := u.need() - level; excess > 0 {
 			u.admitted = max(0, u.admitted-excess/useWeight)
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -14,8 +14,9 @@
 	// queuedPerEngine is the number of items that wait at an engine beyond its slots. Reports are up to half a second old, in
 	// which a slot of an engine becomes free.
 	queuedPerEngine = 1
-	// unseenLoad bounds the items per slot that all owners with items of a model may start together on an engine before they learn of each other.
-	unseenLoad = 2
+	// unreportedLoad bounds the items per slot that all owners with items of a model may start together on an engine before they
+	// learn of each other.
+	unreportedLoad = 2
 )
 
 // peerLoad is the last report of another instance.
@@ -36,13 +37,16 @@
 	// has to be computed.
 	running    map[string]int
 	nextExpiry time.Time
-	// competed is when each instance last reported demand for this pool's model. It is kept for maxPeerLoadAge.
-	competed map[string]time.Time
-	// hasDemand is set if an instance reports its demand.
+	// demandReportedAt is when each instance last reported demand for this pool's model. It is kept for maxPeerLoadAge.
+	demandReportedAt map[string]time.Time
+	// hasDemand is set if an instance reports its demand. It is computed together with running, so it is valid only after
+	// peerRunning was called.
 	hasDemand bool
 }
 
-func newPeers() peers { return peers{loads: map[string]peerLoad{}, competed: map[string]time.Time{}} }
+func newPeers() peers {
+	return peers{loads: map[string]peerLoad{}, demandReportedAt: map[string]time.Time{}}
+}
 
 // SetPeerLoad records how many items another instance runs on each engine. The report expires after peerLoadTTL.
 func (p *Pool) SetPeerLoad(instance string, running map[string]int, now time.Time) {
@@ -54,13 +58,13 @@
 func (p *Pool) SetPeerReport(instance string, running, demand map[string]int, now time.Time) {
 	p.peers.loads[instance] = peerLoad{running: running, demand: demand, reportedAt: now}
 	if len(demand) > 0 {
-		p.peers.competed[instance] = now
+		p.peers.demandReportedAt[instance] = now
 	}
-	p.SetReportsArrive(now)
+	p.RecordReportArrival(now)
 }
 
-// SetReportsArrive records that the reports of instances arrive, because one of this instance did.
-func (p *Pool) SetReportsArrive(now time.Time) {
+// RecordReportArrival records that a report of some instance, this one included, has arrived, so reports get through.
+func (p *Pool) RecordReportArrival(now time.Time) {
 	if now.After(p.peers.latest) {
 		p.peers.latest = now
 	}
@@ -89,17 +93,18 @@
 // peerRunning returns the number of items that other instances run on each engine. The caller must not change the map.
 func (p *Pool) peerRunning(now time.Time) map[string]int {
 	if p.peers.running == nil || now.After(p.peers.nextExpiry) {
-		p.peers.addLoads(now)
+		p.peers.recompute(now)
 	}
 	return p.peers.running
 }
 
-func (p *peers) addLoads(now time.Time) {
+// recompute drops outdated reports and sums the others.
+func (p *peers) recompute(now time.Time) {
 	p.running, p.nextExpiry, p.hasDemand = map[string]int{}, now.Add(peerLoadTTL), false
 	maps.DeleteFunc(p.loads, func(_ string, l peerLoad) bool {
 		return p.latest.Sub(l.reportedAt) > peerLoadTTL || now.Sub(l.reportedAt) > maxPeerLoadAge
 	})
-	maps.DeleteFunc(p.competed, func(_ string, at time.Time) bool { return now.Sub(at) > maxPeerLoadAge })
+	maps.DeleteFunc(p.demandReportedAt, func(_ string, at time.Time) bool { return now.Sub(at) > maxPeerLoadAge })
 	for _, load := range p.loads {
 		p.hasDemand = p.hasDemand || load.demand != nil
 		for id, n := range load.running {
@@ -122,11 +127,11 @@
 	if p.anyLimited && taken >= e.Slots {
 		return false
 	}
-	return !p.peers.hasDemand || taken < e.Slots+queuedPerEngine && e.running-e.knownToPeers < p.maxUnseen(e)
+	return !p.peers.hasDemand || taken < e.Slots+queuedPerEngine && e.running-e.knownToPeers < p.maxUnreported(e)
 }
 
-// maxUnseen returns how many items of this instance an engine may run that others do not know of.
-func (p *Pool) maxUnseen(e *engine) int {
-	owners := 1 + len(p.peers.competed)
-	return max(1, unseenLoad*e.Slots/owners)
+// maxUnreported returns how many items of this instance an engine may run that others do not know of.
+func (p *Pool) maxUnreported(e *engine) int {
+	owners := 1 + len(p.peers.demandReportedAt)
+	return max(1, unreportedLoad*e.Slots/owners)
 }
--- a/internal/placement/share.go
+++ b/internal/placement/share.go
@@ -27,9 +27,9 @@
 	if demands[route] == own[route].Demand && total(demands) == demands[route] {
 		return own[route].Demand
 	}
-	s := p.slots(peerRunning)
+	s := p.countSlots(peerRunning)
 	shares := maxMinShares(demands, s.all)
-	spare := s.free - p.unmet(shares, demands)
+	spare := s.free - p.unusedByPeers(shares, demands)
 	return max(part(shares[route], own[route].Demand, demands[route]), own[route].Running+spare, 1) + s.other
 }
 
@@ -69,17 +69,17 @@
 	return sum
 }
 
-// slots counts slots of a pool's engines.
-type slots struct {
+// slotCounts counts slots of a pool's engines.
+type slotCounts struct {
 	// all counts the slots of engines that are assigned to the model, free those of them that no item takes.
 	all, free int
 	// other counts the slots of other engines with the model that are free or run items of this instance.
 	other int
 }
 
-// slots counts the slots. If no engine is assigned to the model, all count as assigned.
-func (p *Pool) slots(peerRunning map[string]int) slots {
-	var s slots
+// countSlots counts the slots. If no engine is assigned to the model, all count as assigned.
+func (p *Pool) countSlots(peerRunning map[string]int) slotCounts {
+	var s slotCounts
 	hasAssigned := slices.ContainsFunc(p.engineList, func(e *engine) bool { return e.listed && e.Assigned })
 	for _, e := range p.engineList {
 		free := max(0, e.Slots-e.running-peerRunning[e.ID])
@@ -95,8 +95,8 @@
 	return s
 }
 
-// unmet returns how many further items the other instances may start within their shares.
-func (p *Pool) unmet(shares, demands map[string]int) int {
+// unusedByPeers returns how many further items the other instances may start within their shares.
+func (p *Pool) unusedByPeers(shares, demands map[string]int) int {
 	sum := 0
 	for _, l := range p.peers.loads {
 		entitled := 0
--- a/internal/placement/share_test.go
+++ b/internal/placement/share_test.go
@@ -68,7 +68,7 @@
 		t.Errorf("%d items of an instance that is silent for too long", got)
 	}
 	p.SetPeerReport("peer", map[string]int{"e0": 8}, map[string]int{"other": 8}, start)
-	p.SetReportsArrive(start.Add(peerLoadTTL + time.Millisecond))
+	p.RecordReportArrival(start.Add(peerLoadTTL + time.Millisecond))
 	if got := p.peerRunning(start.Add(peerLoadTTL + time.Millisecond))["e0"]; got != 0 {
 		t.Errorf("%d items of an instance that is silent while others report", got)
 	}
@@ -93,7 +93,7 @@
 			}
 		}
 	}
-	if total > unseenLoad*8 {
+	if total > unreportedLoad*8 {
 		t.Errorf("%d items on an engine with 8 slots", total)
 	}
 }
--- a/internal/placement/uneven_replay_test.go
+++ b/internal/placement/uneven_replay_test.go
@@ -178,7 +178,7 @@
 			if peer != o {
 				peer.pool.SetPeerReport(fmt.Sprint(o.id), running, demand, r.now)
 			}
-			o.pool.SetReportsArrive(r.now)
+			o.pool.RecordReportArrival(r.now)
 		}
 	}})
 }
--- a/internal/scaling/plan.go
+++ b/internal/scaling/plan.go
@@ -166,10 +166,13 @@
 	}
 }
 
+// orderedTotal returns the number of engines ordered in the zones that are not evacuated.
 func (p *Planner) orderedTotal() int {
 	total := 0
-	for _, s := range p.zonesByPrice() {
-		total += s.ordered.OnDemand + s.ordered.Reclaimable
+	for _, s := range p.zones {
+		if !s.Evacuated {
+			total += s.ordered.OnDemand + s.ordered.Reclaimable
+		}
 	}
 	return total
 }
--- a/internal/startlimit/places.go
+++ b/internal/startlimit/places.go
@@ -69,9 +69,8 @@
 	takesTurns bool
 }
 
-// NewPlaces returns the places of one service. jobs holds the rows of all jobs of the service, readAt is when they were
-// last read, and sequences is the number of sequences
-// that the configuration provides for.
+// NewPlaces returns the places of one service. jobs holds the rows of all jobs of the service, readAt is when they were last
+// read, and sequences is the number of sequences that the configuration provides for.
 func NewPlaces(self string, jobs []Job, sequences int, readAt, now time.Time) *Places {
 	p := &Places{self: self, isFresh: map[sequence]bool{}, isShared: map[sequence]bool{}, handedOverAt: map[sequence]time.Time{}, sequences: sequences, readAt: readAt, counts: map[group]groupCounts{}, shares: map[string]int{}}
 	open, ended := map[place]Job{}, map[sequence]bool{}
@@ -91,6 +90,13 @@
 			open[key] = j
 		}
 	}
+	p.addPlaces(open, ended)
+	return p
+}
+
+// addPlaces adds the places of the owners of open jobs and of the sequences whose jobs have ended lately, in an order that is the
+// same at all instances.
+func (p *Places) addPlaces(open map[place]Job, ended map[sequence]bool) {
 	occupied := map[sequence]int{}
 	for key, j := range open {
 		occupied[key.sequence]++
@@ -108,7 +114,6 @@
 	slices.SortFunc(p.all, func(a, b place) int {
 		return cmp.Or(cmp.Compare(a.route, b.route), cmp.Compare(a.model, b.model), cmp.Compare(a.owner, b.owner))
 	})
-	return p
 }
 
 // Share returns how many runs this instance may start in a second on a target that is assigned to a model. perSecond and now
@@ -159,7 +164,7 @@
 	return true
 }
 
-// groupCounts are the numbers of places of a group: all, those of this instance, and of these the settling and the new ones.
+// groupCounts are the numbers of places of a group: all, those of this instance, and of these the settling and the fresh ones.
 type groupCounts struct{ all, own, settling, fresh int }
 
 // count returns the numbers of places of a group.
@@ -177,7 +182,7 @@
 			continue
 		}
 		counts.own++
-		if p.isNew(pl, now) {
+		if p.isFreshPlace(pl, now) {
 			counts.fresh++
 		}
 		if p.settles(pl, now) {
@@ -208,8 +213,8 @@
 	return share
 }
 
-// isNew reports whether one of this instance's places belongs to a sequence that has just begun.
-func (p *Places) isNew(pl place, now time.Time) bool {
+// isFreshPlace reports whether one of this instance's places belongs to a sequence that has just begun.
+func (p *Places) isFreshPlace(pl place, now time.Time) bool {
 	return p.isFresh[pl.sequence] && !pl.takenOver && now.Sub(pl.ownedSince) < freshTime
 }
 
@@ -234,7 +239,7 @@
 		if !g.holds(pl) {
 			continue
 		}
-		if pl.owner == p.self && !p.isNew(pl, now) && (index+places-int(first))%places < budget {
+		if pl.owner == p.self && !p.isFreshPlace(pl, now) && (index+places-int(first))%places < budget {
 			count++
 		}
 		index++
--- a/tools/checklogs/evacuations.go
+++ b/tools/checklogs/evacuations.go
@@ -9,10 +9,10 @@
 	"github.com/egretspar/egretspar/internal/event"
 )
 
-// evacuationTime is how long after the beginning of an evacuation requests may still be sent to the zone.
-const evacuationTime = 5 * time.Second
+// evacuationGrace is how long after the beginning of an evacuation requests may still be sent to the zone.
+const evacuationGrace = 5 * time.Second
 
-// checkEvacuations counts the requests that an instance sent to targets in a zone later than evacuationTime after it had logged that
+// checkEvacuations counts the requests that an instance sent to targets in a zone later than evacuationGrace after it had logged that
 // the zone is evacuated. An instance that starts anew logs that anew.
 func checkEvacuations(lines []line) []string {
 	type place struct{ instance, zone string }
@@ -30,7 +30,7 @@
 		default:
 			for target, at := range requestsOf(l) {
 				p.zone = zones[target]
-				if began, ok := beganAt[p]; ok && at.Sub(began) > evacuationTime {
+				if began, ok := beganAt[p]; ok && at.Sub(began) > evacuationGrace {
 					late[p]++
 				}
 			}
@@ -38,7 +38,7 @@
 	}
 	var findings []string
 	for p, count := range late {
-		findings = append(findings, fmt.Sprintf("evacuation: %s sent %d requests to zone %s more than %v after the evacuation began", p.instance, count, p.zone, evacuationTime))
+		findings = append(findings, fmt.Sprintf("evacuation: %s sent %d requests to zone %s more than %v after the evacuation began", p.instance, count, p.zone, evacuationGrace))
 	}
 	slices.Sort(findings)
 	return findings
