forward, batch: a slow chunked body is not timed, and a moved item is not held back behind others

Cause: found by reading. The time of a body in chunks that its caller still sends counted as the target's, so a slow caller could have a service limited. An item with a slot waiting for it at another engine stayed pending behind items that its route's share holds back. Change: such a body is untimed like other uploads; the round goes on to items that move.

--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -162,10 +162,10 @@
 		if item.notBefore.After(now) {
 			continue
 		}
+		// The allowance does not hold back an item that moves, because its slot has become free.
 		if load.Running >= allowance && item.moveTo == "" {
-			// An item that moves is placed in any case, because its slot has become free.
 			heldBack = load.Demand - load.Running
-			break
+			continue
 		}
 		if !wanted {
 			wanted = true
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -190,6 +190,7 @@
 	case err != nil:
 		return outcome.Refuse(outcome.CallerDisconnected)
 	case !whole:
+		x.route.Untimed = true
 		x.upload = newUploadWithoutTrailers(x.prefetch, x.writer.controller.SetReadDeadline)
 		return nil
 	}
@@ -344,6 +345,7 @@
 	x.mayHaveRun = true
 	if x.reserveRetryTarget(response, chosen) {
 		result := target.Refused
+		// Only 503 says that the target has no room. Another server error says nothing about its load.
 		if response.StatusCode != http.StatusServiceUnavailable {
 			result = target.Failed
 		}
