forward: reading chunked bodies ahead is in one file

Change: bufferChunks stands beside prefetch; the test starts the command without settings. Result: the tests of both packages pass. Conclusion: no change of behaviour.

--- a/cmd/egretspar/main_test.go
+++ b/cmd/egretspar/main_test.go
@@ -38,7 +38,6 @@
 // ignoresHangup starts a command and reports whether it is seen to ignore SIGHUP.
 func ignoresHangup(t *testing.T, program, command string) bool {
 	c := exec.Command(program, command)
-	c.Env = append(os.Environ(), "EGRETSPAR_NODE_FILE=/nonexistent")
 	if err := c.Start(); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -178,28 +178,6 @@
 	return nil
 }
 
-// bufferChunks reads the start of a body without a stated length. A small body is known before it is sent, so
-// that a request that crashes targets is recognised like one with a length. All are sent as uploads.
-func (x *exchange) bufferChunks() *outcome.Refusal {
-	x.prefetch = startPrefetch(x.caller.Body)
-	body, whole, err := x.prefetch.wait()
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return outcome.Refuse(outcome.RequestTooLarge)
-	case err != nil:
-		return outcome.Refuse(outcome.CallerDisconnected)
-	case !whole:
-		x.route.Untimed = true
-		x.upload = newUploadWithoutTrailers(x.prefetch, x.writer.controller.SetReadDeadline)
-		return nil
-	}
-	x.uploadedWhole = true
-	x.uploaded = body
-	x.upload = newUploadWithoutTrailers(bytes.NewReader(body), x.writer.controller.SetReadDeadline)
-	return nil
-}
-
 // endPrefetch ends a read of the body that is still under way.
 func (x *exchange) endPrefetch() {
 	if x.prefetch != nil {
--- a/internal/forward/prefetch.go
+++ b/internal/forward/prefetch.go
@@ -1,11 +1,15 @@
 package forward
 
 import (
+	"bytes"
 	"errors"
 	"io"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/egretspar/egretspar/internal/outcome"
 )
 
 // prefetchWait is how long a request whose body has no stated length waits for the end of a small body. A body that takes
@@ -116,3 +120,25 @@
 		<-p.done
 	}
 }
+
+// bufferChunks reads the start of a body without a stated length. A small body is known before it is sent, so
+// that a request that crashes targets is recognised like one with a length. All are sent as uploads.
+func (x *exchange) bufferChunks() *outcome.Refusal {
+	x.prefetch = startPrefetch(x.caller.Body)
+	body, whole, err := x.prefetch.wait()
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return outcome.Refuse(outcome.RequestTooLarge)
+	case err != nil:
+		return outcome.Refuse(outcome.CallerDisconnected)
+	case !whole:
+		x.route.Untimed = true
+		x.upload = newUploadWithoutTrailers(x.prefetch, x.writer.controller.SetReadDeadline)
+		return nil
+	}
+	x.uploadedWhole = true
+	x.uploaded = body
+	x.upload = newUploadWithoutTrailers(bytes.NewReader(body), x.writer.controller.SetReadDeadline)
+	return nil
+}
