forward: test of slow bodies in chunks

Cause: the fix of their time came without a test. Change: a body that comes whole is timed, a slower one is not. Conclusion: the fix of the moved items still has no test.

--- a/internal/forward/fakes_test.go
+++ b/internal/forward/fakes_test.go
@@ -30,6 +30,8 @@
 	busyPicks int
 	// breaksToQuarantine is the number of broken targets after which a request is quarantined; 0 means never.
 	breaksToQuarantine int
+	// untimed holds, for each pick, whether the time of the attempt depends on the caller.
+	untimed []bool
 }
 
 func newFakeDeps(urls ...string) *fakeDeps {
@@ -43,6 +45,7 @@
 func (d *fakeDeps) Pick(request target.Request, _ time.Time) (target.Reservation, *outcome.Refusal) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.untimed = append(d.untimed, request.Untimed)
 	if d.busyPicks > 0 && len(d.results) > 0 {
 		d.busyPicks--
 		return nil, outcome.Refuse(outcome.NoTarget)
