streams: retries of a resumed stream keep to the version it was checked against

Cause: while a service had one software version, a resumed stream was left unrestricted ("any target has the version"). That holds only at the moment of the check. A retry after a timeout picks from the targets of its own moment, and a release had added the next version by then.

The tests of the table expect the version where they expected "any target".

--- a/internal/streams/table.go
+++ b/internal/streams/table.go
@@ -39,12 +39,13 @@
 type Decision int
 
 const (
-	// AnyTarget means that all targets have the version that began the stream.
-	AnyTarget Decision = iota
-	// SameSoftware means that only targets of a known version may continue it.
-	SameSoftware
 	// Unknown means that the version is not known here, or not yet.
-	Unknown
+	Unknown Decision = iota
+	// OnlySoftware means that the stream is not known, but that only one version can have begun it if the list of targets is
+	// current. Another version may come at any time, so only targets of that one may continue the stream.
+	OnlySoftware
+	// SameSoftware means that the version that began the stream is known. Only targets of that version may continue it.
+	SameSoftware
 )
 
 // Table holds the streams that began lately. It is safe for concurrent use.
@@ -188,17 +189,17 @@
 	t.streams[e.ID] = e
 }
 
-// Resume returns how a stream of a service can be taken up again, and the version for SameSoftware.
+// Resume returns how a stream of a service can be taken up again, and the version that may continue it unless it is Unknown.
 func (t *Table) Resume(service, id string, now time.Time) (Decision, string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e, ok := t.streams[id]; ok {
 		return SameSoftware, e.Software
 	}
-	if t.isMixed(service, now) {
-		return Unknown, ""
+	if current := t.get(service).current(now); len(current) == 1 {
+		return OnlySoftware, current[0]
 	}
-	return AnyTarget, ""
+	return Unknown, ""
 }
 
 // TakeUnshared returns up to limit streams that other instances should know. It returns them once.
--- a/internal/streams/table_test.go
+++ b/internal/streams/table_test.go
@@ -21,7 +21,7 @@
 	}
 	observe(0, "v1")
 	table.Begin(Entry{"early", "s", "v1"}, at(1))
-	expect(2, "other", AnyTarget, "")
+	expect(2, "other", OnlySoftware, "v1")
 	if got := table.TakeUnshared(10, at(2)); len(got) != 0 {
 		t.Errorf("shared %v with one version", got)
 	}
@@ -46,9 +46,9 @@
 	}
 	observe(20, "v2")
 	expect(30, "unseen", Unknown, "")
-	expect(100, "unseen", AnyTarget, "")
+	expect(100, "unseen", OnlySoftware, "v2")
 	table.Begin(Entry{"late", "s", "v2"}, at(100))
-	expect(100, "early", AnyTarget, "")
+	expect(100, "early", OnlySoftware, "v2")
 }
 
 // Guards against streams that go on anywhere because the process that knew of another version is gone, and against streams that are
@@ -79,8 +79,8 @@
 	if got := table.OutdatedVersions(at(13))["s"]; !slices.Equal(got, []string{"v1", "v2"}) {
 		t.Errorf("outdated %v after the second version", got)
 	}
-	if got, _ := table.Resume("s", "of the former process", at(100)); got != AnyTarget {
-		t.Errorf("a minute later: %v", got)
+	if got, software := table.Resume("s", "of the former process", at(100)); got != OnlySoftware || software != "v2" {
+		t.Errorf("a minute later: %v %q", got, software)
 	}
 	if got := table.OutdatedVersions(at(100))["s"]; !slices.Equal(got, []string{"v2"}) {
 		t.Errorf("outdated %v after the first version left", got)
