platform: a call that was given up does not reach the platform later

Cause: a timeout was taken for the end of a send. Closing a socket in order leaves its bytes to the kernel, which repeats them until they arrive, seconds after the lease has passed to another instance.

Change: connections of internal/platform/rpc are reset when they are closed, also by the death of their process (SO_LINGER of 0, set before they open). While a process is suspended its kernel gives bytes up that are not acknowledged within the longest send under the lease (TCP_USER_TIMEOUT).

Evidence: the former holder's log has its last order 0.4 s before it gives the lease up, with "call may have taken effect"; the platform gets it 4.6 s later.

--- a/internal/platform/rpc/call.go
+++ b/internal/platform/rpc/call.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -21,6 +22,7 @@
 
 	"github.com/egretspar/egretspar/internal/outcome"
 	"github.com/egretspar/egretspar/internal/platform/api"
+	"github.com/egretspar/egretspar/internal/sockopt"
 )
 
 const (
@@ -72,6 +74,8 @@
 	Timeout time.Duration
 	// DialTimeout limits the time to open a connection; 0 means that only the timeout of the call applies.
 	DialTimeout time.Duration
+	// UnackedTimeout limits how long the kernel repeats bytes that are not acknowledged; 0 means Timeout.
+	UnackedTimeout time.Duration
 	// Counter counts retries; it may be nil.
 	Counter outcome.Counter
 	// Transport replaces the HTTP transport; it may be nil.
@@ -99,7 +103,7 @@
 		o.Timeout = defaultTimeout
 	}
 	if o.Transport == nil {
-		o.Transport = newTransport(o.DialTimeout)
+		o.Transport = newTransport(o.DialTimeout, cmp.Or(o.UnackedTimeout, o.Timeout))
 	}
 	client := &http.Client{
 		Transport:     o.Transport,
@@ -296,10 +300,11 @@
 	return value, nil
 }
 
-func newTransport(dial time.Duration) http.RoundTripper {
+// newTransport returns a transport for calls that have no effect after they were given up: another instance may hold the lease then.
+func newTransport(dialTimeout, unackedTimeout time.Duration) http.RoundTripper {
 	t := http.DefaultTransport.(*http.Transport).Clone()
 	t.Proxy = nil
-	t.DialContext = (&net.Dialer{Timeout: dial}).DialContext
+	t.DialContext = (&net.Dialer{Timeout: dialTimeout, Control: sockopt.Abortive(unackedTimeout)}).DialContext
 	t.DisableCompression = true
 	t.MaxResponseHeaderBytes = maxHeaderBytes
 	t.MaxIdleConns = maxIdleConnections
--- /dev/null
+++ b/internal/platform/rpc/call_test.go
@@ -0,0 +1,98 @@
+package rpc
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// callURL is the environment variable that makes the test process call a URL and do nothing else.
+const callURL = "EGRETSPAR_TEST_CALL_URL"
+
+func TestMain(m *testing.M) {
+	if url := os.Getenv(callURL); url != "" {
+		_, err := New(Options{URL: url, Timeout: time.Minute}).Do(context.Background(), testCall)
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+var testCall = Request{Operation: "order", Method: http.MethodPost, Path: "/scale", Body: []byte("{}"), NoRetry: true}
+
+// silentPlatform accepts one connection and never responds. received is closed once a call has come, and end gets the error that
+// ends the connection.
+type silentPlatform struct {
+	url      string
+	received chan struct{}
+	end      chan error
+}
+
+func newSilentPlatform(t *testing.T) *silentPlatform {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	p := &silentPlatform{url: "http://" + l.Addr().String(), received: make(chan struct{}), end: make(chan error, 1)}
+	go p.serve(l)
+	return p
+}
+
+func (p *silentPlatform) serve(l net.Listener) {
+	c, err := l.Accept()
+	if err != nil {
+		p.end <- err
+		return
+	}
+	defer c.Close()
+	buffer := make([]byte, 64<<10)
+	if _, err = c.Read(buffer); err == nil {
+		close(p.received)
+	}
+	for err == nil {
+		_, err = c.Read(buffer)
+	}
+	p.end <- err
+}
+
+// expectReset fails the test unless the connection was reset. TCP repeats the unacknowledged bytes of any other connection until they
+// arrive.
+func (p *silentPlatform) expectReset(t *testing.T) {
+	t.Helper()
+	if err := <-p.end; !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the connection ended with %v, want a reset", err)
+	}
+}
+
+// Guards against an order that arrives seconds after the call timed out, when a network partition has healed and another instance
+// holds the lease.
+func TestGivenUpCallDoesNotArriveLater(t *testing.T) {
+	p := newSilentPlatform(t)
+	caller := New(Options{URL: p.url, Timeout: 50 * time.Millisecond})
+	if _, err := caller.Do(t.Context(), testCall); err == nil {
+		t.Fatal("a call without a response succeeded")
+	}
+	p.expectReset(t)
+}
+
+// Guards against an order that arrives after the lease holder was killed during a network partition.
+func TestCallOfKilledProcessDoesNotArriveLater(t *testing.T) {
+	p := newSilentPlatform(t)
+	process := exec.CommandContext(t.Context(), os.Args[0])
+	process.Env = append(os.Environ(), callURL+"="+p.url)
+	if err := process.Start(); err != nil {
+		t.Fatal(err)
+	}
+	<-p.received
+	if err := process.Process.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	_ = process.Wait()
+	p.expectReset(t)
+}
