forward: requests to targets do not outlive their connection under TLS or their process

A target could get a request, such as an order, long after it was given up: the same cause as that of the calls to the platform. A connection with an unfinished request was reset, but not under TLS, where the socket was not found, and not when the process was killed, where nothing closes it.

Change: connections to targets are opened so that they are reset with their process. An abandoned one under TLS is reset below TLS. One without a request is closed in order, as before.

Evidence: TestAbandonedRequestIsReset/TLS and TestConnectionIsResetWithItsProcess failed before the fix (the target saw EOF; SO_LINGER was off), and pass after it. TestIdleConnectionIsClosedInOrder passes before and after.

--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -10,13 +10,12 @@
 	"net/url"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sys/unix"
 
 	"github.com/egretspar/egretspar/internal/reach"
+	"github.com/egretspar/egretspar/internal/sockopt"
 )
 
 // defaultRequestIDHeader carries the request ID to the target. If the target repeats it in the response, a
@@ -124,13 +123,7 @@
 	return &net.Dialer{
 		Timeout:         timeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes},
-		Control: func(_, _ string, socket syscall.RawConn) error {
-			var setErr error
-			err := socket.Control(func(fd uintptr) {
-				setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-			})
-			return errors.Wrap(cmp.Or(err, setErr), "set TCP_USER_TIMEOUT")
-		},
+		Control:         sockopt.Abortive(unackedTimeout),
 	}
 }
 
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -29,7 +29,9 @@
 	pool       *targetPool
 	clientConn *http.ClientConn
 	isTLS      bool
-	socket     syscall.RawConn
+	// network is the connection to the target below TLS.
+	network net.Conn
+	socket  syscall.RawConn
 
 	mu sync.Mutex
 	// peekFunc, peekErr and peekBuffer are fields to avoid an allocation in each check of the socket.
@@ -146,6 +148,7 @@
 		c.isTLS = true
 		raw = secure.NetConn()
 	}
+	c.network = raw
 	if socket, ok := raw.(syscall.Conn); ok {
 		c.socket, _ = socket.SyscallConn()
 	}
@@ -186,9 +189,7 @@
 // must not reach the target later.
 func (c *conn) Close() error {
 	c.mu.Lock()
-	if socket, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok && c.requestWritten && !c.responseRead {
-		_ = socket.SetLinger(0)
-	}
+	isAbandoned := c.requestWritten && !c.responseRead
 	abortUpload := c.abortUpload
 	c.abortUpload = nil
 	c.markUnusableLocked()
@@ -196,6 +197,31 @@
 	if abortUpload != nil {
 		abortUpload()
 	}
+	if !isAbandoned {
+		return c.closeInOrder()
+	}
+	if socket, ok := c.network.(lingerer); ok {
+		_ = socket.SetLinger(resetOnClose)
+	}
+	return c.network.Close()
+}
+
+// lingerer is a socket that can say what happens to its unacknowledged bytes when it is closed.
+type lingerer interface{ SetLinger(sec int) error }
+
+const (
+	// resetOnClose drops unacknowledged bytes. It is the default of connections to targets, so that they are reset when the process is
+	// killed.
+	resetOnClose = 0
+	// lingerInBackground delivers unacknowledged bytes, and ends the connection in order.
+	lingerInBackground = -1
+)
+
+// closeInOrder closes a connection without a request.
+func (c *conn) closeInOrder() error {
+	if socket, ok := c.network.(lingerer); ok {
+		_ = socket.SetLinger(lingerInBackground)
+	}
 	return c.Conn.Close()
 }
 
@@ -261,8 +287,7 @@
 	if !c.pool.put(c) {
 		c.isIdle = false
 		c.markUnusableLocked()
-		raw := c.Conn
-		raw.Close()
+		_ = c.closeInOrder()
 	}
 }
 
--- a/internal/forward/network_test.go
+++ b/internal/forward/network_test.go
@@ -286,52 +286,114 @@
 
 // Guards against an order that reaches its target long after it was given up, when the network delivers what was still under way.
 func TestAbandonedRequestIsReset(t *testing.T) {
-	reset := make(chan error, 1)
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		hijacked, _, err := http.NewResponseController(w).Hijack()
+	for _, c := range []struct {
+		name  string
+		start func(http.Handler) *httptest.Server
+	}{{"plain", httptest.NewServer}, {"TLS", httptest.NewTLSServer}} {
+		t.Run(c.name, func(t *testing.T) {
+			reset := make(chan error, 1)
+			server := c.start(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				hijacked, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					reset <- err
+					return
+				}
+				defer hijacked.Close()
+				for err == nil {
+					_, err = hijacked.Read(make([]byte, 1))
+				}
+				reset <- err
+			}))
+			defer server.Close()
+			f := New(Options{Limits: DefaultLimits(), TLS: server.Client().Transport.(*http.Transport).TLSClientConfig})
+			ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+			defer cancel()
+			request, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := f.Send(request, server.URL); err == nil {
+				t.Fatal("response from a target that sends none")
+			}
+			if err := <-reset; !errors.Is(err, syscall.ECONNRESET) {
+				t.Errorf("the target sees %v, want a reset", err)
+			}
+		})
+	}
+}
+
+// Guards against a connection that is reset although its response was read whole: targets log that as an error.
+func TestIdleConnectionIsClosedInOrder(t *testing.T) {
+	end := make(chan error, 1)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		c, err := l.Accept()
 		if err != nil {
-			reset <- err
+			end <- err
 			return
 		}
-		defer hijacked.Close()
+		defer c.Close()
+		buffer := make([]byte, 64<<10)
+		_, err = c.Read(buffer)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 		for err == nil {
-			_, err = hijacked.Read(make([]byte, 1))
+			_, err = c.Read(buffer)
 		}
-		reset <- err
-	}))
-	defer server.Close()
+		end <- err
+	}()
 	f := New(Options{Limits: DefaultLimits()})
-	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL, nil)
+	url := "http://" + l.Addr().String()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := f.Send(request, url)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := f.Send(request, server.URL); err == nil {
-		t.Fatal("response from a target that sends none")
+	_ = response.Body.Close()
+	for closed := false; !closed; {
+		f.client.closeIdle(0)
+		select {
+		case err = <-end:
+			closed = true
+		case <-time.After(time.Millisecond):
+		}
 	}
-	if err := <-reset; !errors.Is(err, syscall.ECONNRESET) {
-		t.Errorf("the target sees %v, want a reset", err)
+	if !errors.Is(err, io.EOF) {
+		t.Errorf("the target sees %v, want an end in order", err)
 	}
 }
 
-// Guards against idle connections that are used long after the network has dropped them without a reset: by default they are
-// probed first after 15 s and given up after 150 s.
-func TestConnectionsThatHangAreClosed(t *testing.T) {
+// dialedSocket returns the socket of a connection to a target, as the dialer opens it.
+func dialedSocket(t *testing.T) syscall.RawConn {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
+	t.Cleanup(func() { l.Close() })
 	c, err := targetDialer(time.Second).DialContext(t.Context(), "tcp", l.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer c.Close()
-	raw, err := c.(*net.TCPConn).SyscallConn()
+	t.Cleanup(func() { c.Close() })
+	socket, err := c.(*net.TCPConn).SyscallConn()
 	if err != nil {
 		t.Fatal(err)
 	}
+	return socket
+}
+
+// Guards against idle connections that are used long after the network has dropped them without a reset: by default they are
+// probed first after 15 s and given up after 150 s.
+func TestConnectionsThatHangAreClosed(t *testing.T) {
+	raw := dialedSocket(t)
+	var err error
 	option := func(name int) time.Duration {
 		value := 0
 		if controlErr := raw.Control(func(fd uintptr) { value, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, name) }); controlErr != nil || err != nil {
@@ -349,3 +411,17 @@
 		t.Errorf("probes are given up after %v, before the last one but one", unacked)
 	}
 }
+
+// Guards against an order that reaches its target after the instance that sent it was killed, when a network partition has healed:
+// only a connection that is reset with its process drops what is under way.
+func TestConnectionIsResetWithItsProcess(t *testing.T) {
+	err := dialedSocket(t).Control(func(fd uintptr) {
+		linger, err := unix.GetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER)
+		if err != nil || linger.Onoff == 0 || linger.Linger != 0 {
+			t.Errorf("linger is %+v (%v), want a reset at the end", linger, err)
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
