quarantine: a restarted instance keeps what its former process reported

Cause: a process left out the row of its own instance when it read the reports, and its first report replaced that row, and with it the crashes that all others knew from it.

Change: a process adopts the row of its former process. A crash carries its time, so that restarts do not renew it. Older builds ignore that field, and crashes without it count from when they are read, as before.

Evidence: the log of a restarted instance shows "known" fall from 3 to 1.

--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -29,6 +29,20 @@
 	// Request is the request's hash.
 	Request uint64 `json:"request"`
 	Target  string `json:"target"`
+	// AtUnix is when the crash was seen, in Unix seconds; builds before it do not write it. It outlives the process, so that a row that
+	// is read again after a restart does not count for another crashTTL.
+	AtUnix int64 `json:"at,omitempty"`
+}
+
+// seenAt returns when the crash was seen, or otherwise if it does not say so. A clock that is ahead does not make it last longer.
+func (c Crash) seenAt(now, otherwise time.Time) time.Time {
+	if c.AtUnix == 0 {
+		return otherwise
+	}
+	if at := time.Unix(c.AtUnix, 0); at.Before(now) {
+		return at
+	}
+	return now
 }
 
 // Report is the row in which an instance shares its observations with the other instances.
@@ -38,7 +52,7 @@
 	Completed []uint64 `json:"completed"`
 }
 
-// crashTimes holds, by target that one request crashed, when this instance learned of the crash.
+// crashTimes holds, by target that one request crashed, when the crash was seen.
 type crashTimes map[string]time.Time
 
 // crashesByRequest holds the crashed targets by request hash.
@@ -150,8 +164,8 @@
 	l.ownCrashes.removeExpired(now)
 	report := Report{Crashes: []Crash{}, Completed: []uint64{}}
 	for request, crashes := range l.ownCrashes {
-		for target := range crashes {
-			report.Crashes = append(report.Crashes, Crash{Request: request, Target: target})
+		for target, at := range crashes {
+			report.Crashes = append(report.Crashes, Crash{Request: request, Target: target, AtUnix: at.Unix()})
 		}
 	}
 	for request, at := range l.completionTimes {
@@ -164,8 +178,28 @@
 	return report
 }
 
-// ApplyReport replaces the report of another instance. A crash that the instance's previous report also contained keeps
-// its time, so repeated reports do not postpone its expiry.
+// AdoptReport adds what a former process of this instance reported, so that a restart forgets neither crashes nor completed requests.
+func (l *List) AdoptReport(report Report, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, request := range report.Completed {
+		l.markCompleted(request)
+		if l.completionTimes[request].IsZero() && len(l.completionTimes) < maxTrackedRequests {
+			l.completionTimes[request] = now
+		}
+	}
+	for _, c := range report.Crashes {
+		at := c.seenAt(now, now)
+		if _, known := l.ownCrashes[c.Request][c.Target]; known || l.hasCompleted(c.Request) || now.Sub(at) >= crashTTL {
+			continue
+		}
+		l.evictOwnCrashes(now)
+		l.ownCrashes.add(c, at)
+	}
+}
+
+// ApplyReport replaces the report of another instance. A crash without a time that the instance's previous report also contained
+// keeps the time when it was read first, so repeated reports do not postpone its expiry.
 func (l *List) ApplyReport(instance string, report Report, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -178,7 +212,7 @@
 		if recordedAt, ok := previous[c.Request][c.Target]; ok {
 			at = recordedAt
 		}
-		updated.add(c, at)
+		updated.add(c, c.seenAt(now, at))
 	}
 	l.reportedCrashes[instance] = updated
 }
--- a/internal/quarantine/list_test.go
+++ b/internal/quarantine/list_test.go
@@ -16,6 +16,15 @@
 
 var epoch = time.Unix(1_700_000_000, 0)
 
+// crashesOf returns crashes of a request without times, as older builds report them.
+func crashesOf(request uint64, targets ...string) []Crash {
+	var crashes []Crash
+	for _, t := range targets {
+		crashes = append(crashes, Crash{Request: request, Target: t})
+	}
+	return crashes
+}
+
 // Guards against a request that crashes one target after another, at one instance or at several.
 func TestThirdCrashedTargetQuarantinesRequest(t *testing.T) {
 	for _, c := range []struct {
@@ -31,11 +40,11 @@
 		{"one target three times", func(l *List) { l.RecordCrash(7, "a", epoch); l.RecordCrash(7, "a", epoch) }, 0, false, false, "a"},
 		{"another request", func(l *List) { l.RecordCrash(8, "a", epoch); l.RecordCrash(8, "b", epoch) }, 0, false, false, "c"},
 		{"reported by two instances", func(l *List) {
-			l.ApplyReport("x", Report{Crashes: []Crash{{7, "a"}}}, epoch)
-			l.ApplyReport("y", Report{Crashes: []Crash{{7, "b"}}}, epoch)
+			l.ApplyReport("x", Report{Crashes: crashesOf(7, "a")}, epoch)
+			l.ApplyReport("y", Report{Crashes: crashesOf(7, "b")}, epoch)
 		}, 0, true, true, "c"},
 		{"reported and seen here", func(l *List) {
-			l.ApplyReport("x", Report{Crashes: []Crash{{7, "a"}}}, epoch)
+			l.ApplyReport("x", Report{Crashes: crashesOf(7, "a")}, epoch)
 			l.RecordCrash(7, "a", epoch)
 		}, 0, false, false, "b"},
 		{"completed in between", func(l *List) {
@@ -45,11 +54,11 @@
 		}, 0, false, false, "c"},
 		{"completed here, reported by another instance", func(l *List) {
 			l.RecordCompleted(7, epoch)
-			l.ApplyReport("x", Report{Crashes: []Crash{{7, "a"}, {7, "b"}, {7, "c"}}}, epoch)
+			l.ApplyReport("x", Report{Crashes: crashesOf(7, "a", "b", "c")}, epoch)
 		}, 0, false, false, "d"},
 		{"crashes expired", func(l *List) { l.RecordCrash(7, "a", epoch); l.RecordCrash(7, "b", epoch) }, crashTTL, false, false, "c"},
 		{"row of the reporting instance deleted", func(l *List) {
-			l.ApplyReport("x", Report{Crashes: []Crash{{7, "a"}, {7, "b"}}}, epoch)
+			l.ApplyReport("x", Report{Crashes: crashesOf(7, "a", "b")}, epoch)
 			l.RemoveReport("x")
 		}, 0, false, false, "c"},
 	} {
@@ -70,7 +79,7 @@
 // Guards against crashes that never expire because the row that reports them is read again and again.
 func TestRepeatedReportDoesNotRenewCrashes(t *testing.T) {
 	l := newTestList()
-	report := Report{Crashes: []Crash{{7, "a"}, {7, "b"}, {7, "c"}}}
+	report := Report{Crashes: crashesOf(7, "a", "b", "c")}
 	for elapsed := time.Duration(0); elapsed < crashTTL; elapsed += crashTTL / 4 {
 		l.ApplyReport("x", report, epoch.Add(elapsed))
 	}
@@ -82,6 +91,44 @@
 	}
 }
 
+// Guards against a restart that forgets crashes, or completed requests, and against crashes that a restart renews.
+func TestRestartKeepsReport(t *testing.T) {
+	former, other := newTestList(), newTestList()
+	for n, target := range []string{"a", "b", "c"} {
+		former.RecordCrash(7, target, epoch.Add(time.Duration(n)*second))
+		former.RecordCrash(8, target, epoch)
+	}
+	other.ApplyReport("former", former.Report(epoch), epoch)
+	other.RecordCompleted(8, epoch)
+	former.ApplyReport("other", other.Report(epoch), epoch)
+
+	restarted, restartedOther := newTestList(), newTestList()
+	now := epoch.Add(crashTTL / 2)
+	restarted.AdoptReport(former.Report(now), now)
+	restartedOther.AdoptReport(other.Report(now), now)
+	if !restarted.IsQuarantined(7, now) {
+		t.Error("a restart forgets that the request crashed three targets")
+	}
+	if report := restarted.Report(now); len(report.Crashes) != 3 {
+		t.Errorf("%d crashes in the report after a restart, want 3", len(report.Crashes))
+	}
+	restartedOther.ApplyReport("late", Report{Crashes: crashesOf(8, "a", "b", "c")}, now)
+	if restartedOther.IsQuarantined(8, now) {
+		t.Error("a restart forgets that the request completed")
+	}
+	third := newTestList()
+	third.ApplyReport("former", former.Report(now), now)
+	for name, l := range map[string]*List{"the restarted instance": restarted, "another one": third} {
+		if l.IsQuarantined(7, epoch.Add(crashTTL)) {
+			t.Errorf("at %s the restart renewed the crashes", name)
+		}
+	}
+	late := newTestList()
+	if late.AdoptReport(former.Report(now), epoch.Add(2*crashTTL)); late.CrashCount(epoch.Add(2*crashTTL)) > 0 {
+		t.Error("a restart adopts expired crashes")
+	}
+}
+
 // Guards against a request that stays refused on an instance where it was interrupted several times, although it
 // completed on another instance.
 func TestCompletionOnOtherInstanceLiftsQuarantine(t *testing.T) {
