targetlimit: the first report of a process waits until its former row is read

A restarted instance could write its first report over the row of its former process before it had read it, for example while reads of the table failed.

Change: no report is written before the rows were read once.

--- a/internal/targetlimit/worker.go
+++ b/internal/targetlimit/worker.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc/pool"
 
@@ -30,6 +31,9 @@
 	writeTimeout    = time.Second
 )
 
+// errRowsUnread reports that the rows have not been read yet: the row of a former process must not be overwritten before.
+var errRowsUnread = errors.New("rows of limits have not been read yet")
+
 // Options configure a Worker.
 type Options struct {
 	Instance string
@@ -89,6 +93,9 @@
 
 // writeReport stores this instance's report, or removes its row if there is nothing to tell.
 func (w *Worker) writeReport(ctx context.Context, report Report) error {
+	if w.feed.LastSuccess().IsZero() {
+		return errRowsUnread
+	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	key := rowTable + "/" + w.options.Instance
