--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -73,6 +73,7 @@
 	x.failures = failureTracker{options: &p.options}
 	x.route = call.Route
 	x.route.Service = call.Service.Name
+	x.route.Deadline = call.Deadline
 	x.route.Exclude = append([]string(nil), call.Route.Exclude...)
 	return x
 }
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -32,6 +32,8 @@
 	Team string
 	// LatencyObjective is the time within which the response has its full value for the caller; 0 means none.
 	LatencyObjective time.Duration
+	// Deadline is when the caller gets a response at the latest; zero means no deadline.
+	Deadline time.Time
 	// Background is set for a request of the system itself, which gives way to those of callers by a limit of its own.
 	Background bool
 	// Untimed is set for a request whose caller may still be sending its body, so that the time of its attempts says
