rpc: a status that is none does not count as a refusal

A platform in trouble that responds with the status 000 was taken to have refused the call without effect. The caller of a job would then be told that it does not run, although the store may have accepted it.

Cause: statusError took every status without a case of its own for a refusal.

Change: after a status below 200 a write may have taken effect.

Evidence: TestInvalidStatusIsNoRefusal failed before ("platform refused the call") for 000 and 099, writes and reads, and passes after.

--- a/internal/platform/rpc/call.go
+++ b/internal/platform/rpc/call.go
@@ -244,7 +244,8 @@
 }
 
 // statusError maps a response status to an error. The platform responds with 429 and 503 only before a call takes
-// effect. After other server errors, such as those of a gateway, the call may have taken effect.
+// effect. After other server errors, such as those of a gateway, and after a status that is none, such as 000, the call may have taken
+// effect.
 func statusError(r Request, status int) error {
 	switch {
 	case status >= 200 && status < 300:
@@ -259,7 +260,7 @@
 		return busyError{}
 	case status == http.StatusServiceUnavailable:
 		return errors.Wrapf(api.ErrUnavailable, "status %d", status)
-	case status >= 500:
+	case status >= 500, status < 200:
 		return attemptError(r, true, errors.Errorf("status %d", status))
 	default:
 		return &refusedError{status: status}
--- a/internal/platform/rpc/call_test.go
+++ b/internal/platform/rpc/call_test.go
@@ -3,13 +3,17 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/egretspar/egretspar/internal/platform/api"
 )
 
 // callURL is the environment variable that makes the test process call a URL and do nothing else.
@@ -96,3 +100,34 @@
 	_ = process.Wait()
 	p.expectReset(t)
 }
+
+// respondRaw starts a platform that responds to each call with bytes that net/http would not send, and returns its URL.
+func respondRaw(t *testing.T, response string) string {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer c.Close()
+		_, _ = io.WriteString(c, response)
+	}))
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+// Guards against a write that has taken effect and counts as refused, because the platform responded with a status that is none. The
+// callers of a job are told then that it does not run.
+func TestInvalidStatusIsNoRefusal(t *testing.T) {
+	for _, status := range []string{"000", "099"} {
+		url := respondRaw(t, "HTTP/1.1 "+status+" Trouble\r\nContent-Length: 0\r\n\r\n")
+		for _, readOnly := range []bool{false, true} {
+			want := map[bool]error{false: api.ErrEffectUnknown, true: api.ErrUnavailable}[readOnly]
+			call := testCall
+			call.ReadOnly = readOnly
+			if _, err := New(Options{URL: url}).Do(t.Context(), call); !errors.Is(err, want) || errors.Is(err, ErrRefused) {
+				t.Errorf("status %s, read only %v: %v, want %v", status, readOnly, err, want)
+			}
+		}
+	}
+}
