--- a/internal/forward/faulty_response_test.go
+++ b/internal/forward/faulty_response_test.go
@@ -18,7 +18,7 @@
 	t.Helper()
 	var runs atomic.Int32
 	url := serve(t, handleInTurn(&runs, respondRaw(f.raw)))
-	response, err := http.Post(newFakeDeps(url, url).serveEntry(t, Call{})+"/", "text/plain", nil) //nolint:noctx // The test has no deadline.
+	response, err := http.Post(newFakeDeps(url, url).serveEntry(t, Call{})+"/", "text/plain", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -42,7 +42,7 @@
 func TestInvalidStatusIsNoResponse(t *testing.T) {
 	for _, status := range []string{"000", "001", "099", "+20", "-20", "0", "20", "2000", "2e2", "abc", ""} {
 		for _, body := range []string{"Content-Length: 0\r\n\r\n", "Content-Length: 2\r\n\r\nok", "\r\nok"} {
-			raw := fmt.Sprintf("HTTP/1.1 %s Trouble\r\nX-Server-Stamp: s\r\n%s", status, body)
+			raw := fmt.Sprintf("HTTP/1.1 %s Trouble\r\nStamp: s\r\n%s", status, body)
 			faultyResponse{fmt.Sprintf("status %q with %q", status, body), raw}.expectNoResponse(t)
 		}
 	}
@@ -51,11 +51,11 @@
 // Guards against a response that a caller takes for whole, with an empty or a short body, though its target stopped within its head.
 func TestTruncatedHeadIsNoResponse(t *testing.T) {
 	for _, head := range []string{
-		"HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nContent-Length: 12\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nStamp: s\r\nContent-Length: 12\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-		"HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\n\r\n",
-		"HTTP/1.0 200 OK\nX-Server-Stamp: s\n\n",
-		"HTTP/1.1 204 No Content\r\nX-Server-Stamp: s\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nStamp: s\r\n\r\n",
+		"HTTP/1.0 200 OK\nStamp: s\n\n",
+		"HTTP/1.1 204 No Content\r\nStamp: s\r\n\r\n",
 		"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n",
 	} {
 		for n := range len(head) - 1 {
@@ -70,7 +70,7 @@
 	for n := range len(end) - 1 {
 		raw := head + end[:n]
 		url := serve(t, respondRaw(raw))
-		response, err := http.Get(newFakeDeps(url).serveEntry(t, Call{}) + "/") //nolint:noctx // The test has no deadline.
+		response, err := http.Get(newFakeDeps(url).serveEntry(t, Call{}) + "/")
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/platform/pace.go
+++ b/internal/paced/observer.go
@@ -1,4 +1,5 @@
-package platform
+// Package paced reserves targets for requests as package pace allows, and tells it how their attempts ended.
+package paced
 
 import (
 	"slices"
@@ -12,28 +13,33 @@
 	"github.com/egretspar/egretspar/internal/target"
 )
 
-// paceObserver asks the pacer about requests that have a latency objective, and tells it how their attempts ended.
-type paceObserver struct {
+// Observer asks a pacer about requests that have a latency objective, and tells it how their attempts ended.
+type Observer struct {
 	pacer *pace.Pacer
 	log   zerolog.Logger
 }
 
-// paceCall returns what the pacer needs to know about a request.
-func paceCall(r target.Request) pace.Call {
+// NewObserver returns an observer that logs changes of the limits.
+func NewObserver(pacer *pace.Pacer, log zerolog.Logger) *Observer {
+	return &Observer{pacer: pacer, log: log}
+}
+
+// callOf returns what the pacer needs to know about a request.
+func callOf(r target.Request) pace.Call {
 	return pace.Call{Service: r.Service, Team: r.Team, Objective: r.LatencyObjective, Background: r.Background, Untimed: r.Untimed}
 }
 
-// admit returns the refusal of a request that the targets of its service have no room for.
-func (p *paceObserver) admit(r target.Request, now time.Time) *outcome.Refusal {
-	return p.pacer.Admit(paceCall(r), now)
+// Admit returns the refusal of a request that the targets of its service have no room for.
+func (o *Observer) Admit(r target.Request, now time.Time) *outcome.Refusal {
+	return o.pacer.Admit(callOf(r), now)
 }
 
 // maxDiverted limits how many targets that may not take the request now are passed over.
 const maxDiverted = 4
 
-// pick reserves a slot with pick at a target that may take the request now, or at any if there is none: refusing requests is
-// up to admit.
-func (p *paceObserver) pick(
+// Pick reserves a slot with pick at a target that may take the request now, or at any if there is none: refusing requests is
+// up to Admit.
+func (o *Observer) Pick(
 	r target.Request, now time.Time, pick func(target.Request, time.Time) (target.Reservation, *outcome.Refusal),
 ) (target.Reservation, *outcome.Refusal) {
 	if r.LatencyObjective <= 0 {
@@ -46,7 +52,7 @@
 			break
 		}
 		id := reservation.Target().ID
-		if p.pacer.Take(paceCall(r), id, now) {
+		if o.pacer.Take(callOf(r), id, now) {
 			return reservation, nil
 		}
 		reservation.Done(target.Cancelled, 0)
@@ -55,18 +61,18 @@
 	return pick(r, now)
 }
 
-// observe returns a reservation that also passes the result of the attempt to the pacer.
-func (p *paceObserver) observe(reservation target.Reservation, r target.Request) target.Reservation {
+// Observe returns a reservation that also passes the result of the attempt to the pacer.
+func (o *Observer) Observe(reservation target.Reservation, r target.Request) target.Reservation {
 	if r.LatencyObjective <= 0 {
 		return reservation
 	}
-	return &pacedReservation{Reservation: reservation, observer: p, call: paceCall(r), id: reservation.Target().ID}
+	return &pacedReservation{Reservation: reservation, observer: o, call: callOf(r), id: reservation.Target().ID}
 }
 
 // pacedReservation passes the result of its attempt to the pacer.
 type pacedReservation struct {
 	target.Reservation
-	observer *paceObserver
+	observer *Observer
 	call     pace.Call
 	id       string
 	// timeToHeader is the time until the header of a response that is forwarded as it arrives; 0 without one.
