streams: a stream of a service without targets is refused at once

Since no version is named for a service that has had no target for a minute, a stream that was taken up there waited 0.5 s for rows that could not help before it was refused.

--- a/internal/streams/table.go
+++ b/internal/streams/table.go
@@ -46,6 +46,8 @@
 	OnlySoftware
 	// SameSoftware means that the version that began the stream is known. Only targets of that version may continue it.
 	SameSoftware
+	// NoTarget means that the stream is not known and the service has had no target lately, if the list of targets is current.
+	NoTarget
 )
 
 // Table holds the streams that began lately. It is safe for concurrent use.
@@ -189,17 +191,21 @@
 	t.streams[e.ID] = e
 }
 
-// Resume returns how a stream of a service can be taken up again, and the version that may continue it unless it is Unknown.
+// Resume returns how a stream of a service can be taken up again, and the version that may continue it if there is one.
 func (t *Table) Resume(service, id string, now time.Time) (Decision, string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e, ok := t.streams[id]; ok {
 		return SameSoftware, e.Software
 	}
-	if current := t.get(service).current(now); len(current) == 1 {
+	switch current := t.get(service).current(now); len(current) {
+	case 0:
+		return NoTarget, ""
+	case 1:
 		return OnlySoftware, current[0]
+	default:
+		return Unknown, ""
 	}
-	return Unknown, ""
 }
 
 // TakeUnshared returns up to limit streams that other instances should know. It returns them once.
--- a/internal/streams/table_test.go
+++ b/internal/streams/table_test.go
@@ -19,6 +19,7 @@
 			t.Errorf("%d s, stream %s: %v %q, want %v %q", s, id, got, gotSoftware, want, software)
 		}
 	}
+	expect(0, "other", NoTarget, "")
 	observe(0, "v1")
 	table.Begin(Entry{"early", "s", "v1"}, at(1))
 	expect(2, "other", OnlySoftware, "v1")
