--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -136,6 +136,9 @@
 	return time.Unix(0, at)
 }
 
+// HasRead reports whether the rows have been read at least once.
+func (f *Follower) HasRead() bool { return f.lastSuccess.Load() != 0 }
+
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	var wg conc.WaitGroup
--- a/internal/streams/worker.go
+++ b/internal/streams/worker.go
@@ -68,9 +68,6 @@
 	return w
 }
 
-// Ready reports whether the rows have been read. Until then nothing is known of the streams and versions from before this process.
-func (w *Worker) Ready() bool { return !w.feed.LastSuccess().IsZero() }
-
 // CatchUp returns nil once the table holds everything that had been written when it was called.
 func (w *Worker) CatchUp(ctx context.Context) error { return w.feed.CatchUp(ctx) }
 
@@ -149,7 +146,7 @@
 
 // dueVersions returns the versions of the services whose rows this instance writes now.
 func (w *Worker) dueVersions(now time.Time) map[string][]string {
-	if !w.Ready() {
+	if !w.feed.HasRead() {
 		return nil
 	}
 	outdated := w.options.Table.OutdatedVersions(now)
--- a/internal/targetlimit/worker.go
+++ b/internal/targetlimit/worker.go
@@ -93,7 +93,7 @@
 
 // writeReport stores this instance's report, or removes its row if there is nothing to tell.
 func (w *Worker) writeReport(ctx context.Context, report Report) error {
-	if w.feed.LastSuccess().IsZero() {
+	if !w.feed.HasRead() {
 		return errRowsUnread
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
