--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -203,6 +203,7 @@
 	if socket, ok := c.network.(lingerer); ok {
 		_ = socket.SetLinger(resetOnClose)
 	}
+	// TLS would send a message first, which may block.
 	return c.network.Close()
 }
 
