strictclient: a reset of the connection does not end a response as whole

Callers saw: a target answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written. The caller got that part as a complete response.

Cause: the kernel reports a reset once. When the write of the upload gets the error, the next read returns the end of the stream, and net/http takes a response without a length or chunks for whole.

Change: connections to targets, other instances and the platform's services go through strictclient.Conn. At the end of the stream a connection that is closed in both directions was reset, since the peer alone can close only one; the write that may hold the error then ends at once, so Read waits for it and reports it.

--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/egretspar/egretspar/internal/reach"
 	"github.com/egretspar/egretspar/internal/sockopt"
+	"github.com/egretspar/egretspar/internal/strictclient"
 )
 
 // defaultRequestIDHeader carries the request ID to the target. If the target repeats it in the response, a
@@ -77,6 +78,7 @@
 	if dial == nil {
 		dial = targetDialer(options.Limits.DialTimeout).DialContext
 	}
+	dial = strictclient.Dial(dial)
 	tlsConfig := options.TLS
 	if tlsConfig == nil {
 		tlsConfig = &tls.Config{MinVersion: tls.VersionTLS12}
--- a/internal/platform/rpc/call.go
+++ b/internal/platform/rpc/call.go
@@ -23,6 +23,7 @@
 	"github.com/egretspar/egretspar/internal/outcome"
 	"github.com/egretspar/egretspar/internal/platform/api"
 	"github.com/egretspar/egretspar/internal/sockopt"
+	"github.com/egretspar/egretspar/internal/strictclient"
 )
 
 const (
@@ -310,5 +311,5 @@
 	t.MaxResponseHeaderBytes = maxHeaderBytes
 	t.MaxIdleConns = maxIdleConnections
 	t.MaxIdleConnsPerHost = maxIdleConnections
-	return t
+	return strictclient.Transport(t)
 }
--- /dev/null
+++ b/internal/strictclient/conn.go
@@ -0,0 +1,112 @@
+package strictclient
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+)
+
+// ErrReset is the error of a read at the end of a connection that failed while a request was written.
+var ErrReset = errors.New("connection failed while the request was written")
+
+// DialFunc opens a connection, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dial returns a function that opens connections with dial and wraps them in a Conn.
+func Dial(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return New(c), nil
+	}
+}
+
+// Conn is a connection whose Read tells a reset from an orderly end. The kernel reports a reset once, to a read or to a write. After a
+// write got it, reads return the end of the stream, as if the peer had closed the connection, and a response that ends with its
+// connection looks whole. Read returns ErrReset then.
+type Conn struct {
+	net.Conn
+	// socket is nil for a connection that is no socket, such as one in memory.
+	socket syscall.RawConn
+
+	// writing is held during each write.
+	writing     sync.Mutex
+	writeFailed bool
+}
+
+// New wraps a connection.
+func New(c net.Conn) *Conn {
+	wrapped := &Conn{Conn: c}
+	if s, ok := c.(syscall.Conn); ok {
+		wrapped.socket, _ = s.SyscallConn()
+	}
+	return wrapped
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	//nolint:errorlint // Compared directly, as io.Reader requires io.EOF itself.
+	if err == io.EOF && c.hasFailed() {
+		return n, ErrReset
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	c.writeFailed = c.writeFailed || err != nil
+	return n, err
+}
+
+// hasFailed reports whether the connection failed and a write got the error. It waits for a write that is under way, which cannot
+// block on a connection that is closed.
+func (c *Conn) hasFailed() bool {
+	if !c.isClosed() {
+		return false
+	}
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	return c.writeFailed
+}
+
+// isClosed reports whether the connection is closed in both directions: by a reset, or by this side. After an orderly end, the peer
+// has closed one direction only, and may still read.
+func (c *Conn) isClosed() bool {
+	if c.socket == nil {
+		return false
+	}
+	isHungUp := false
+	err := c.socket.Control(func(fd uintptr) {
+		state := []unix.PollFd{{Fd: int32(fd)}}
+		_, pollErr := unix.Poll(state, 0)
+		isHungUp = pollErr == nil && state[0].Revents&unix.POLLHUP != 0
+	})
+	return isHungUp || err != nil
+}
+
+// SetLinger sets what happens to unsent bytes when the connection is closed, as net.TCPConn.SetLinger does.
+func (c *Conn) SetLinger(seconds int) error {
+	if l, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return l.SetLinger(seconds)
+	}
+	return nil
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *Conn) SyscallConn() (syscall.RawConn, error) {
+	if c.socket == nil {
+		return nil, errors.New("connection is no socket")
+	}
+	return c.socket, nil
+}
