weights: an order is not accepted with a status that is none

Reports of other systems: an engine in trouble sent the status 000, and the client got it as an answer. Callers, items, reward calls, other instances and the store were checked before (TestInvalidStatusIsNoResponse, TestFaultyResponseReachesNoCaller, TestRunEndings, TestCallRewardEndings, TestInvalidStatusIsNoRefusal): it does not happen there.

Cause: the worker that sends weight orders in the own deployment took every status below 300 for an accepted order. It waited for the effect until the order timed out, instead of failing it at once.

Evidence: TestOrderStatus with 000 and 099 failed before ("status 0: <nil>").

Change: an order is accepted with a status from 200 to 299 only.

--- a/internal/weights/http.go
+++ b/internal/weights/http.go
@@ -61,7 +61,7 @@
 		return api.ErrFenced
 	case resp.StatusCode == http.StatusTooManyRequests:
 		return ErrRateLimited
-	case resp.StatusCode >= http.StatusMultipleChoices:
+	case resp.StatusCode < http.StatusOK || resp.StatusCode >= http.StatusMultipleChoices:
 		return errors.Errorf("send weight order: status %d", resp.StatusCode)
 	}
 	return nil
--- a/internal/weights/worker_test.go
+++ b/internal/weights/worker_test.go
@@ -183,9 +183,9 @@
 }
 
 // Guards against an engine's conflict (409) being taken for the refusal of a stale fencing token (412), which would end
-// all orders of the term.
+// all orders of the term, and against an order that counts as accepted after a status that is none, such as 000.
 func TestOrderStatus(t *testing.T) {
-	for _, code := range []int{200, 409, 412, 429, 500} {
+	for _, code := range []int{0, 99, 200, 409, 412, 429, 500} {
 		h := HTTPEngines{Client: &http.Client{Transport: statusTransport(code)}}
 		err := h.Order(context.Background(), target.Target{URL: "http://e"}, engine.WeightOrder{})
 		if (err == nil) != (code == 200) || errors.Is(err, api.ErrFenced) != (code == 412) || errors.Is(err, ErrRateLimited) != (code == 429) {
