forward, strictclient: a response with an invalid field name is none

Reports of other systems: an engine in trouble sent a response in whose head the name of a field held a blank or a control byte. The client got it as an answer, with that line or with a body that was not the engine's.

Cause: net/http rejects control bytes, but accepts a blank in a name and takes a line that begins with a blank for the end of the line before. A line that says where the body ends is passed over then: after "Transfer-Encoding : chunked" callers got the chunk sizes as a part of the body.

Change: forward checks the field names of each head of targets and other instances while it is read, and ends the connection at an invalid one, as after any malformed head: 502, or another target if the request may be repeated. strictclient.Transport rejects such responses of the platform's services and of the own deployment's reports, orders and reward calls.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -49,9 +49,11 @@
 	requestStarted chan struct{}
 	// responseRead reports whether the current response was read to its end.
 	responseRead bool
-	isIdle       bool
-	unusable     bool
-	idleSince    time.Time
+	// head checks the heads of the current response.
+	head      headCheck
+	isIdle    bool
+	unusable  bool
+	idleSince time.Time
 	// keepAlive is the timeout for idle connections that the target announced, or 0 if it announced none.
 	keepAlive time.Duration
 	// abortUpload aborts a blocked read of the caller's body. Without it, a request whose connection broke would
@@ -67,7 +69,7 @@
 			return 0, err
 		}
 		n, err := c.Conn.Read(p)
-		if interrupted := c.finishRead(&n, &err); !interrupted {
+		if interrupted := c.finishRead(p, &n, &err); !interrupted {
 			return n, err
 		}
 	}
@@ -94,9 +96,9 @@
 	return nil
 }
 
-// finishRead checks the result of a network read. It reports whether the read was interrupted because the
+// finishRead checks the result of a network read into p. It reports whether the read was interrupted because the
 // response had ended, in which case Read waits for the next request.
-func (c *conn) finishRead(n *int, err *error) bool {
+func (c *conn) finishRead(p []byte, n *int, err *error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.isReading = false
@@ -107,6 +109,9 @@
 	if c.responseRead && *n > 0 {
 		*n, *err = 0, errUnsolicited
 	}
+	if headErr := c.head.check(p[:*n]); headErr != nil {
+		*n, *err = 0, headErr
+	}
 	if *err != nil {
 		c.markUnusableLocked()
 	}
@@ -281,6 +286,7 @@
 		return
 	}
 	c.responseRead = false
+	c.head = headCheck{}
 	c.requestWritten = false
 	c.abortUpload = nil
 	c.isIdle = true
--- a/internal/forward/faulty_response_test.go
+++ b/internal/forward/faulty_response_test.go
@@ -48,6 +48,59 @@
 	}
 }
 
+// invalidFields are lines of a head whose field names hold a blank or a control byte.
+func invalidFields() []string {
+	fields := []string{
+		"X Note: n", "X-Note : n", "X-Note\t: n", " X-Note: n", "\tX-Note: n", " : n", ": n",
+		"Content-Length : 2", "Content Length: 2", " Content-Length: 2", "Transfer-Encoding : chunked", "\tTransfer-Encoding: chunked",
+	}
+	for b := range byte(' ') {
+		if b != '\n' {
+			fields = append(fields, fmt.Sprintf("X-%cNote: n", b), fmt.Sprintf("%cX-Note: n", b), fmt.Sprintf("X-Note%c: n", b))
+		}
+	}
+	return append(fields, "X-\x7fNote: n")
+}
+
+// Guards against a response with an invalid field name, which a caller gets with that line, or with another body than its target sent,
+// since the line says where the body ends.
+func TestInvalidFieldNameIsNoResponse(t *testing.T) {
+	for _, field := range invalidFields() {
+		for _, head := range []string{
+			"HTTP/1.1 200 OK\r\nStamp: s\r\n%s\r\n\r\nok",
+			"HTTP/1.1 200 OK\r\n%s\r\nContent-Length: 2\r\n\r\nok",
+			"HTTP/1.1 200 OK\nStamp: s\n%s\nTransfer-Encoding: chunked\n\n2\r\nok\r\n0\r\n\r\n",
+			"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n%s\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+			"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n%s\r\n\r\nok",
+		} {
+			raw := fmt.Sprintf(head, field)
+			faultyResponse{fmt.Sprintf("response %q", raw), raw}.expectNoResponse(t)
+		}
+	}
+}
+
+// Guards against a response that counts as faulty because of a rare but valid head.
+func TestValidHeadIsResponse(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nX-!#$%&'*+.^_`|~9: n\r\nContent-Length: 2\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX-Note:\r\nX-Note: a b\tc: d\r\nX-Note:  \r\nContent-Length: 2\r\n\r\n",
+		"HTTP/1.1 200 O K: \x01\nContent-Length: 2\n\n",
+		"HTTP/1.1 200\r\nContent-Length: 2\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n",
+	} {
+		url := serve(t, respondRaw(head+"a "))
+		response, err := http.Get(newFakeDeps(url).serveEntry(t, Call{}) + "/")
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(response.Body)
+		response.Body.Close()
+		if err != nil || response.StatusCode != http.StatusOK || string(body) != "a " {
+			t.Errorf("head %q: status %d, body %q, %v", head, response.StatusCode, body, err)
+		}
+	}
+}
+
 // Guards against a response that a caller takes for whole, with an empty or a short body, though its target stopped within its head.
 func TestTruncatedHeadIsNoResponse(t *testing.T) {
 	for _, head := range []string{
--- a/internal/forward/network_test.go
+++ b/internal/forward/network_test.go
@@ -137,8 +137,8 @@
 	})
 }
 
-// Guards against a response to the wrong request on a reused connection, and against a second run of a request
-// that net/http would retry.
+// Guards against a response to the wrong request on a reused connection, against a second run of a request
+// that net/http would retry, and against a check of the head that ends with the first response.
 func TestReusedConnection(t *testing.T) {
 	response := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 	for name, c := range map[string]struct {
@@ -152,6 +152,7 @@
 		"extra response":       {response + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno", "", false, outcome.Ran, 2},
 		"closed after reading": {response, "", false, outcome.Unknown, 2},
 		"closed, idempotent":   {response, "", true, outcome.Ran, 3},
+		"invalid field name":   {response, "HTTP/1.1 200 OK\r\nX-Note : n\r\nContent-Length: 2\r\n\r\nok", false, outcome.Unknown, 2},
 	} {
 		runOnNetwork(t, name, []string{"http://raw"}, func(s *testNetwork) {
 			runs := 0
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,6 +36,7 @@
 	"github.com/egretspar/egretspar/internal/routing"
 	"github.com/egretspar/egretspar/internal/settings"
 	"github.com/egretspar/egretspar/internal/step"
+	"github.com/egretspar/egretspar/internal/strictclient"
 	"github.com/egretspar/egretspar/internal/target"
 	"github.com/egretspar/egretspar/internal/targetlimit"
 	"github.com/egretspar/egretspar/internal/telemetry"
@@ -188,7 +189,7 @@
 	n.rollout = rollout.New(rollout.Options{
 		Instance:   n.self.ID,
 		Generator:  &admittedGenerator{admission: n.admission, generate: n.forwarder.Generate},
-		Scorer:     &scorer{admission: n.admission, picker: picker, checkAccess: n.checkAccess, observeLimit: n.observeLimit, http: &http.Client{Transport: &http.Transport{}}},
+		Scorer:     &scorer{admission: n.admission, picker: picker, checkAccess: n.checkAccess, observeLimit: n.observeLimit, http: &http.Client{Transport: strictclient.Transport(&http.Transport{})}},
 		Objects:    n.platform.Objects,
 		Peers:      stepPeerCaller{n},
 		Usage:      n.usageMeter,
@@ -197,7 +198,7 @@
 		Stragglers: step.DefaultPredictive(),
 	})
 	n.weightsWorker = weights.NewWorker(weights.Options{
-		Store: n.platform.Weights, Engines: weights.HTTPEngines{Client: &http.Client{Transport: &http.Transport{}}},
+		Store: n.platform.Weights, Engines: weights.HTTPEngines{Client: &http.Client{Transport: strictclient.Transport(&http.Transport{})}},
 		Term: func() (int, bool) {
 			term, held := n.leases.weights.Held(time.Now())
 			return int(term), held
--- a/internal/provider/load.go
+++ b/internal/provider/load.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/egretspar/egretspar/internal/engine"
+	"github.com/egretspar/egretspar/internal/strictclient"
 	"github.com/egretspar/egretspar/internal/target"
 )
 
@@ -54,7 +55,7 @@
 
 // NewLoadWatcher returns a watcher that reports to sink.
 func NewLoadWatcher(sink LoadSink, log zerolog.Logger) *LoadWatcher {
-	return &LoadWatcher{sink: sink, log: log, http: &http.Client{Timeout: pollTimeout, Transport: &http.Transport{}}, reports: map[string]engineReport{}}
+	return &LoadWatcher{sink: sink, log: log, http: &http.Client{Timeout: pollTimeout, Transport: strictclient.Transport(&http.Transport{})}, reports: map[string]engineReport{}}
 }
 
 // SetTargets replaces the targets to poll.
--- a/internal/provider/load_test.go
+++ b/internal/provider/load_test.go
@@ -56,3 +56,21 @@
 		t.Errorf("events and versions %s", got)
 	}
 }
+
+// Guards against a report whose head has an invalid field name, so that its body may be another than the engine sent.
+func TestReportWithInvalidFieldNameIsNone(t *testing.T) {
+	const report = `{"running":0,"waiting":0,"weight_version":7,"start_number":1}`
+	for _, field := range []string{"X-Note : n", "Content-Length : 9"} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			c, _, _ := w.(http.Hijacker).Hijack()
+			defer c.Close()
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s\r\n\r\n%s", field, report)
+		}))
+		sink := &recordingSink{}
+		NewLoadWatcher(sink, zerolog.Nop()).pollEngine(t.Context(), target.Target{ID: "engine", URL: server.URL})
+		server.Close()
+		if len(sink.versions) > 0 {
+			t.Errorf("%q: the report was applied", field)
+		}
+	}
+}
