tests: a reset during an upload under TLS

The raw connection below TLS is the one that strictclient wraps, since crypto/tls takes the end of the stream for an end of the response too.

--- a/internal/forward/reset_response_test.go
+++ b/internal/forward/reset_response_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"testing"
@@ -26,6 +28,9 @@
 		c, _, _ := w.(http.Hijacker).Hijack()
 		_, _ = io.WriteString(c, raw)
 		time.Sleep(pause)
+		if secure, ok := c.(*tls.Conn); ok {
+			c = secure.NetConn()
+		}
 		_ = c.(*net.TCPConn).SetLinger(0)
 		c.Close()
 	}
@@ -61,11 +66,17 @@
 // Guards against a part of a response that a caller takes for the whole: its target responded to a long upload at once, without a
 // length, and reset the connection while the upload was being written.
 func TestResetDuringUploadIsNotWhole(t *testing.T) {
-	for round := range resetRounds {
-		url := serve(t, resetAfter(unframedPart, resetPause(round)))
-		response, body, err := rawUpload(t, newFakeDeps(url).serveEntry(t, Call{}))
-		if err == nil && response.StatusCode != http.StatusBadGateway {
-			t.Errorf("round %d: the caller got status %d and %q as a whole", round, response.StatusCode, body)
+	for _, start := range []func(*httptest.Server){(*httptest.Server).Start, (*httptest.Server).StartTLS} {
+		for round := range resetRounds {
+			server := httptest.NewUnstartedServer(resetAfter(unframedPart, resetPause(round)))
+			start(server)
+			options := newFakeDeps(server.URL).options()
+			options.TLS = server.Client().Transport.(*http.Transport).TLSClientConfig
+			response, body, err := rawUpload(t, serve(t, handler(New(options), Call{})))
+			if err == nil && response.StatusCode != http.StatusBadGateway {
+				t.Errorf("round %d with %s: the caller got status %d and %q as a whole", round, server.URL, response.StatusCode, body)
+			}
+			server.Close()
 		}
 	}
 }
