strictclient, forward: usual names for field names and continued lines

Reading the diff again: errors say "invalid field name", the comment names obs-fold, and Read compares its error as the rest of the code does. No change in behaviour; forward, strictclient, rpc and provider pass under the race detector, go vet passes for arm64 and amd64 without cgo.

--- a/internal/forward/head_check.go
+++ b/internal/forward/head_check.go
@@ -7,18 +7,18 @@
 	"github.com/pkg/errors"
 )
 
-var errFieldName = errors.New("target sent a field name that is none")
+var errInvalidFieldName = errors.New("target sent an invalid field name")
 
-// headCheck checks the field names in the heads of one response while they are read. net/http accepts names that hold blanks, and takes a
-// line that begins with a blank for the end of the line before. Such a line may say where the body ends, so the caller
-// would get another body than the target sent. The zero value expects the first head.
+// headCheck checks the field names in the heads of one response while they are read. net/http accepts names that hold blanks, and lines
+// that begin with one as continuations of the line before (obs-fold; RFC 9112, section 5.2). If such a line says where the body ends, the
+// caller would get another body than the target sent. The zero value expects the first head.
 type headCheck struct {
 	part headPart
 	// length is how much of the status code or of the current field name was read, in bytes.
 	length int
 	// status is the status code of the current head.
 	status int
-	// endsLine reports whether the line must end with the next byte.
+	// endsLine reports whether a CR was read, after which the line must end.
 	endsLine bool
 }
 
@@ -95,11 +95,11 @@
 	case b == '\r' && isEmpty:
 		h.endsLine = true
 	case h.endsLine:
-		return errFieldName
+		return errInvalidFieldName
 	case b == ':' && !isEmpty:
 		h.part = valuePart
 	case !isTokenByte(b):
-		return errFieldName
+		return errInvalidFieldName
 	}
 	return nil
 }
--- a/internal/platform/rpc/call_test.go
+++ b/internal/platform/rpc/call_test.go
@@ -132,7 +132,7 @@
 	}
 }
 
-// Guards against a write that counts as done, and against an object with bytes of its chunks, after a response whose field names are none.
+// Guards against a write that counts as done, and against an object with bytes of its chunks, after a response with an invalid field name.
 func TestInvalidFieldNameIsNoResponse(t *testing.T) {
 	for _, field := range []string{"X-Note : n", "Content-Length : 2", "Transfer-Encoding : chunked", "X-\x01Note: n"} {
 		url := respondRaw(t, "HTTP/1.1 200 OK\r\n"+field+"\r\n\r\n2\r\nok\r\n0\r\n\r\n")
--- a/internal/strictclient/conn.go
+++ b/internal/strictclient/conn.go
@@ -53,8 +53,7 @@
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	//nolint:errorlint // Compared directly, as io.Reader requires io.EOF itself.
-	if err == io.EOF && c.hasFailed() {
+	if errors.Is(err, io.EOF) && c.hasFailed() {
 		return n, ErrReset
 	}
 	return n, err
@@ -69,8 +68,8 @@
 	return n, err
 }
 
-// hasFailed reports whether the connection failed and a write got the error. It waits for a write that is under way, which cannot
-// block on a connection that is closed.
+// hasFailed reports whether the connection failed and a write got the error. It waits for a write that is under way, which may hold
+// the error and cannot block on a closed connection.
 func (c *Conn) hasFailed() bool {
 	if !c.isClosed() {
 		return false
--- a/internal/strictclient/transport.go
+++ b/internal/strictclient/transport.go
@@ -9,7 +9,7 @@
 	"github.com/pkg/errors"
 )
 
-var errFieldName = errors.New("response has a field name that is none")
+var errInvalidFieldName = errors.New("response has an invalid field name")
 
 // transport rejects responses whose field names hold blanks, which net/http accepts. Such a field may say where the body ends. net/http
 // itself rejects other invalid names.
@@ -34,7 +34,7 @@
 	for name := range response.Header {
 		if strings.Contains(name, " ") {
 			_ = response.Body.Close()
-			return nil, errFieldName
+			return nil, errInvalidFieldName
 		}
 	}
 	return response, nil
