--- a/internal/strictclient/conn.go
+++ b/internal/strictclient/conn.go
@@ -11,27 +11,28 @@
 	"golang.org/x/sys/unix"
 )
 
-// ErrReset is the error of a read at the end of a connection that failed while a request was written.
-var ErrReset = errors.New("connection failed while the request was written")
+// errReset is the error of a read at the end of a connection that failed while a request was written.
+var errReset = errors.New("connection failed while the request was written")
 
 // DialFunc opens a connection, as net.Dialer.DialContext does.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Dial returns a function that opens connections with dial and wraps them in a Conn.
+// Dial returns a function that opens connections with dial. A read from such a connection fails if the connection was reset, also when
+// the kernel has reported the reset to a write.
 func Dial(dial DialFunc) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return New(c), nil
+		return newConn(c), nil
 	}
 }
 
-// Conn is a connection whose Read tells a reset from an orderly end. The kernel reports a reset once, to a read or to a write. After a
+// conn is a connection whose Read tells a reset from an orderly end. The kernel reports a reset once, to a read or to a write. After a
 // write got it, reads return the end of the stream, as if the peer had closed the connection, and a response that ends with its
-// connection looks whole. Read returns ErrReset then.
-type Conn struct {
+// connection looks whole. Read returns errReset then.
+type conn struct {
 	net.Conn
 	// socket is nil for a connection that is no socket, such as one in memory.
 	socket syscall.RawConn
@@ -41,9 +42,8 @@
 	writeFailed bool
 }
 
-// New wraps a connection.
-func New(c net.Conn) *Conn {
-	wrapped := &Conn{Conn: c}
+func newConn(c net.Conn) *conn {
+	wrapped := &conn{Conn: c}
 	if s, ok := c.(syscall.Conn); ok {
 		wrapped.socket, _ = s.SyscallConn()
 	}
@@ -51,16 +51,16 @@
 }
 
 // Read implements net.Conn.
-func (c *Conn) Read(p []byte) (int, error) {
+func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if errors.Is(err, io.EOF) && c.hasFailed() {
-		return n, ErrReset
+		return n, errReset
 	}
 	return n, err
 }
 
 // Write implements net.Conn.
-func (c *Conn) Write(p []byte) (int, error) {
+func (c *conn) Write(p []byte) (int, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
@@ -70,7 +70,7 @@
 
 // hasFailed reports whether the connection failed and a write got the error. It waits for a write that is under way, which may hold
 // the error and cannot block on a closed connection.
-func (c *Conn) hasFailed() bool {
+func (c *conn) hasFailed() bool {
 	if !c.isClosed() {
 		return false
 	}
@@ -81,7 +81,7 @@
 
 // isClosed reports whether the connection is closed in both directions: by a reset, or by this side. After an orderly end, the peer
 // has closed one direction only, and may still read.
-func (c *Conn) isClosed() bool {
+func (c *conn) isClosed() bool {
 	if c.socket == nil {
 		return false
 	}
@@ -95,7 +95,7 @@
 }
 
 // SetLinger sets what happens to unsent bytes when the connection is closed, as net.TCPConn.SetLinger does.
-func (c *Conn) SetLinger(seconds int) error {
+func (c *conn) SetLinger(seconds int) error {
 	if l, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
 		return l.SetLinger(seconds)
 	}
@@ -103,7 +103,7 @@
 }
 
 // SyscallConn implements syscall.Conn.
-func (c *Conn) SyscallConn() (syscall.RawConn, error) {
+func (c *conn) SyscallConn() (syscall.RawConn, error) {
 	if c.socket == nil {
 		return nil, errors.New("connection is no socket")
 	}
--- a/internal/strictclient/conn_test.go
+++ b/internal/strictclient/conn_test.go
@@ -9,7 +9,7 @@
 )
 
 // connect returns both ends of a connection; the first one is strict.
-func connect(t *testing.T) (*Conn, *net.TCPConn) {
+func connect(t *testing.T) (*conn, *net.TCPConn) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -26,7 +26,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { server.Close() })
-	return client.(*Conn), server.(*net.TCPConn)
+	return client.(*conn), server.(*net.TCPConn)
 }
 
 // writeUntilError writes until the connection is closed.
@@ -52,7 +52,7 @@
 	if n, err := client.Conn.Read(part); n != 0 || !errors.Is(err, io.EOF) {
 		t.Errorf("the kernel reports %d bytes and %v after the write; the test means an end", n, err)
 	}
-	if n, err := client.Read(part); n != 0 || !errors.Is(err, ErrReset) {
+	if n, err := client.Read(part); n != 0 || !errors.Is(err, errReset) {
 		t.Errorf("read %d bytes and %v, want a reset", n, err)
 	}
 }
@@ -80,7 +80,7 @@
 		t.Errorf("read %v, want an end", err)
 	}
 	client.Close()
-	if _, err := client.Read(make([]byte, 1)); errors.Is(err, ErrReset) {
+	if _, err := client.Read(make([]byte, 1)); errors.Is(err, errReset) {
 		t.Error("a connection that this side closed counts as reset")
 	}
 }
