--- /dev/null
+++ b/review/rig/client.go
@@ -0,0 +1,157 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+const (
+	routeHost = "callers.example"
+	apiKey    = "key-of-team-one"
+	teamName  = "team-one"
+)
+
+// newID returns the id of a request.
+func newID() string {
+	data := make([]byte, 8)
+	_, _ = rand.Read(data)
+	return hex.EncodeToString(data)
+}
+
+// route is a route of the operator's configuration.
+type route map[string]any
+
+// writeConfig writes the operator's first configuration.
+func (b *bench) writeConfig(routes []route, services []map[string]any) {
+	b.store.put("op", "config", map[string]any{
+		"version": 1, "routes": routes, "services": services,
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 33554432, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []map[string]any{{"name": teamName, "api_keys": []string{apiKey}, "priority": 1}},
+	})
+	b.add("the operator sends the configuration")
+}
+
+func plainService(name string) map[string]any {
+	return map[string]any{"name": name, "health_path": "/healthz", "max_conns": 100, "protocol": "h1", "tls": false}
+}
+
+func modelService(name string) map[string]any {
+	return map[string]any{
+		"name": name, "health_path": "/healthz", "max_conns": 150, "protocol": "h1", "tls": false,
+		"engine": map[string]any{"slots": 12, "kv_capacity": 82909, "stride": 16, "models": []map[string]any{{"name": modelName}}},
+	}
+}
+
+func plainRoute(name, prefix, kind, service string) route {
+	return route{
+		"name": name, "host": routeHost, "prefix": prefix, "kind": kind, "timeout_ms": 5000, "target_latency_ms": 1000, "priority": 2,
+		"service": service, "max_attempts": 2, "public": false,
+	}
+}
+
+func rolloutRoute(name, prefix, service string) route {
+	return route{
+		"name": name, "host": routeHost, "prefix": prefix, "kind": "rollout", "timeout_ms": 10000, "target_latency_ms": 500, "priority": 1,
+		"service": service, "max_attempts": 3, "item_ttl_s": 40.0, "run_target_ms": 7500, "single_version": false, "public": false, "sticky": true,
+		"resumable": true,
+	}
+}
+
+// reply is an answer to a client.
+type reply struct {
+	status int
+	header http.Header
+	body   []byte
+	err    error
+}
+
+func (r reply) String() string {
+	if r.err != nil {
+		return "no answer: " + r.err.Error()
+	}
+	return strconv.Itoa(r.status)
+}
+
+// call sends one request on a new connection.
+func (b *bench) call(i *instance, method, path, id string, body []byte, header map[string]string, timeout time.Duration) reply {
+	ctx, cancel := context.WithTimeout(b.ctx, timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+i.front+path, bytes.NewReader(body))
+	if err != nil {
+		return reply{err: err}
+	}
+	request.Host = routeHost
+	request.Header.Set("Authorization", "Bearer "+apiKey)
+	if id != "" {
+		request.Header.Set("X-Request-Id", id)
+	}
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	defer transport.CloseIdleConnections()
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: data, err: err}
+}
+
+// jobItem is an item of a batch job.
+type jobItem struct {
+	ID      string            `json:"id"`
+	Path    string            `json:"path"`
+	Headers map[string]string `json:"headers"`
+	Body    []byte            `json:"body"`
+	Tokens  int               `json:"tokens"`
+	Group   string            `json:"group"`
+}
+
+func newItem(prefix, group string) jobItem {
+	id := newID()
+	return jobItem{
+		ID: id, Path: prefix + "1/" + id[:4], Body: []byte("prompt of " + id), Tokens: 940, Group: group,
+		Headers: map[string]string{"X-Model": modelName, "X-Token-Usage": "540,400", "X-Prompt-Prefix": group + ":300," + id + ":240"},
+	}
+}
+
+// jobBody is the body that submits a batch job.
+func jobBody(step, wanted int, items []jobItem) []byte {
+	data, err := json.Marshal(map[string]any{"step": step, "model": modelName, "min_version": 1, "desired_count": wanted, "requests": items})
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// page is a page of results of a batch job.
+type page struct {
+	Total   int `json:"total"`
+	Next    int `json:"next"`
+	Results []struct {
+		ID       string `json:"id"`
+		State    string `json:"state"`
+		Output   string `json:"output"`
+		Versions []int  `json:"versions"`
+	} `json:"results"`
+}
+
+// readResults reads the results of a job from a position.
+func (b *bench) readResults(i *instance, job string, after int) (page, reply) {
+	r := b.call(i, http.MethodGet, fmt.Sprintf("/v1/lots/%s?after=%d", job, after), "", nil, map[string]string{"X-Wait-Ms": "1000"}, 4*time.Second)
+	var p page
+	if r.err == nil && r.status == http.StatusOK {
+		r.err = json.Unmarshal(r.body, &p)
+	}
+	return p, r
+}
