Review: show an engine that gets other bytes of a body (case 11)

Cause: while the answer to a long request is passed on, the upload and the HTTP server read the caller's body side by side.

--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -82,9 +83,16 @@
 
 // call sends one request on a new connection.
 func (b *bench) call(i *instance, method, path, id string, body []byte, header map[string]string, timeout time.Duration) reply {
+	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	defer transport.CloseIdleConnections()
+	return b.send(transport, i, method, path, id, bytes.NewReader(body), header, timeout)
+}
+
+// send sends one request over the connections of a transport. The body is read while it is sent.
+func (b *bench) send(transport *http.Transport, i *instance, method, path, id string, body io.Reader, header map[string]string, timeout time.Duration) reply {
 	ctx, cancel := context.WithTimeout(b.ctx, timeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+i.front+path, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+i.front+path, body)
 	if err != nil {
 		return reply{err: err}
 	}
@@ -96,8 +104,6 @@
 	for name, value := range header {
 		request.Header.Set(name, value)
 	}
-	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
-	defer transport.CloseIdleConnections()
 	response, err := transport.RoundTrip(request)
 	if err != nil {
 		return reply{err: err}
@@ -146,6 +152,29 @@
 	} `json:"results"`
 }
 
+// registerPlain starts a plain service with one goroutine a connection, and writes its entry until the program ends.
+func (b *bench) registerPlain(id string, serve func(net.Conn)) {
+	l, started := listen("127.0.0.1"), time.Now()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	go func() {
+		for seq := 1; ; seq++ {
+			b.store.put("servers", id, map[string]any{
+				"service": "app", "addr": l.Addr().String(), "zone": "zone-a", "version": "v1", "slots": 6, "state": "ready", "cold_left_ms": 0,
+				"seq": seq, "born": started.UnixMilli(),
+			})
+			time.Sleep(beatInterval)
+		}
+	}()
+}
+
 // readResults reads the results of a job from a position.
 func (b *bench) readResults(i *instance, job string, after int) (page, reply) {
 	r := b.call(i, http.MethodGet, fmt.Sprintf("/v1/lots/%s?after=%d", job, after), "", nil, map[string]string{"X-Wait-Ms": "1000"}, 4*time.Second)
