--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -35,11 +36,16 @@
 	b.store.put("op", "config", map[string]any{
 		"version": 1, "routes": routes, "services": services,
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 33554432, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []map[string]any{{"name": teamName, "api_keys": []string{apiKey}, "priority": 1}},
+		"tenants": append([]map[string]any{{"name": teamName, "api_keys": []string{apiKey}, "priority": 1}}, b.tenants...),
 	})
 	b.add("the operator sends the configuration")
 }
 
+// addTenant adds a tenant with one key to the configuration that writeConfig will write.
+func (b *bench) addTenant(name, key string) {
+	b.tenants = append(b.tenants, map[string]any{"name": name, "api_keys": []string{key}, "priority": 1})
+}
+
 func plainService(name string) map[string]any {
 	return map[string]any{"name": name, "health_path": "/healthz", "max_conns": 100, "protocol": "h1", "tls": false}
 }
@@ -177,7 +183,14 @@
 
 // readResults reads the results of a job from a position.
 func (b *bench) readResults(i *instance, job string, after int) (page, reply) {
-	r := b.call(i, http.MethodGet, fmt.Sprintf("/v1/lots/%s?after=%d", job, after), "", nil, map[string]string{"X-Wait-Ms": "1000"}, 4*time.Second)
+	return b.readResultsOf(map[string]string{}, i, job, after)
+}
+
+// readResultsOf is readResults with further headers, such as the key of another tenant.
+func (b *bench) readResultsOf(header map[string]string, i *instance, job string, after int) (page, reply) {
+	header = maps.Clone(header)
+	header["X-Wait-Ms"] = "1000"
+	r := b.call(i, http.MethodGet, fmt.Sprintf("/v1/lots/%s?after=%d", job, after), "", nil, header, 4*time.Second)
 	var p page
 	if r.err == nil && r.status == http.StatusOK {
 		r.err = json.Unmarshal(r.body, &p)
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -40,6 +40,8 @@
 	storeAddr string
 	cloudAddr string
 	instances []*instance
+	// tenants holds the tenants of the configuration beside the first one.
+	tenants []map[string]any
 }
 
 // errUnable reports that a case could not run.
