--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -57,10 +57,10 @@
 	}
 }
 
-func plainRoute(name, prefix, kind, service string) route {
+func plainRoute(name, prefix, kind string) route {
 	return route{
 		"name": name, "host": routeHost, "prefix": prefix, "kind": kind, "timeout_ms": 5000, "target_latency_ms": 1000, "priority": 2,
-		"service": service, "max_attempts": 2, "public": false,
+		"service": "app", "max_attempts": 2, "public": false,
 	}
 }
 
--- a/review/rig/early.go
+++ b/review/rig/early.go
@@ -107,7 +107,7 @@
 	)
 	sent := map[string][]byte{}
 	var all []*earlyEngine
-	b.writeConfig([]route{plainRoute("r-up", "/up/", "safe", "app")}, []map[string]any{plainService("app")})
+	b.writeConfig([]route{plainRoute("r-up", "/up/", "safe")}, []map[string]any{plainService("app")})
 	for n := range engines {
 		e := &earlyEngine{id: fmt.Sprintf("i-plain-%d", n+1), isEarly: b.trouble, record: b.record, sent: sent}
 		all = append(all, e)
--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -19,6 +19,7 @@
 	ready       string
 	dir         string
 	settingsTTL int
+	memoryMB    int
 	storeAddr   string
 	cloudAddr   string
 	command     *exec.Cmd
@@ -70,7 +71,7 @@
 [limits]
 cpu_share = 0.8
 cores = 1
-memory_mb = 354
+memory_mb = %d
 max_fds = 8200
 link_mbps = 1000.0
 disk_mb = 0
@@ -114,7 +115,7 @@
 rate_per_s = 50.0
 duties = ["metering","autoscale"]
 duty_per_s = 50.0
-`, i.name, i.ip, port, port, i.front, i.ready, i.settingsTTL, i.storeAddr, i.cloudAddr)
+`, i.name, i.ip, port, port, i.front, i.ready, i.memoryMB, i.settingsTTL, i.storeAddr, i.cloudAddr)
 	if err := os.WriteFile(i.settingsPath(), []byte(text), 0o600); err != nil {
 		panic(err)
 	}
--- a/review/rig/killer.go
+++ b/review/rig/killer.go
@@ -66,7 +66,7 @@
 		s := &server{id: id, service: "app", slots: 6, store: b.store, record: b.record, handle: handle}
 		s.start()
 	}
-	b.writeConfig([]route{plainRoute("r-app", "/app/", kind, "app")}, []map[string]any{plainService("app")})
+	b.writeConfig([]route{plainRoute("r-app", "/app/", kind)}, []map[string]any{plainService("app")})
 	for range 6 {
 		startServer()
 	}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -42,6 +42,8 @@
 	instances []*instance
 	// tenants holds the tenants of the configuration beside the first one.
 	tenants []map[string]any
+	// memoryMB is the memory of each machine.
+	memoryMB int
 }
 
 // errUnable reports that a case could not run.
@@ -77,7 +79,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	b := &bench{record: &record{start: time.Now(), file: file}, ctx: ctx, dir: dir, trouble: os.Getenv("TROUBLE") != "0", store: newStore()}
+	b := &bench{record: &record{start: time.Now(), file: file}, ctx: ctx, dir: dir, trouble: os.Getenv("TROUBLE") != "0", store: newStore(), memoryMB: 354}
 	b.storeAddr = serveOn(ctx, b.store)
 	b.cloudAddr = serveOn(ctx, http.HandlerFunc(cloud))
 	defer b.end()
@@ -108,7 +110,7 @@
 		ip := fmt.Sprintf("127.0.0.%d", 10+number)
 		i := &instance{
 			name: fmt.Sprintf("front-%d", number), ip: ip, front: freeAddress(ip), ready: freeAddress(ip), dir: b.dir, settingsTTL: statusTTL,
-			storeAddr: b.storeAddr, cloudAddr: b.cloudAddr,
+			memoryMB: b.memoryMB, storeAddr: b.storeAddr, cloudAddr: b.cloudAddr,
 		}
 		i.writeSettings()
 		i.launch()
