forward: an early response leaves the body of its request unchanged

Cause: before the HTTP server sends the header of a response, it reads and drops up to 256 KB of an unread body, while the transport still reads the same body for the target. The log shows it as "invalid concurrent Body.Read call". It happens to responses that are forwarded as they arrive (32 KB or more, or without a length), on all kinds of routes and in both instances of a relayed request. Ruled out: a connection that is used again too early (the bytes missed are those that the server read), and short responses (they are sent when the upload has ended or its connection is closed).

Change: a request whose body is streamed enables full-duplex mode, in which the server leaves the body alone. In that mode the server would take what is unread after the response for the next request, so the caller's connection is then closed after the response.

--- a/internal/forward/caller_writer.go
+++ b/internal/forward/caller_writer.go
@@ -1,7 +1,9 @@
 package forward
 
 import (
+	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/egretspar/egretspar/internal/claim"
@@ -83,6 +85,19 @@
 	_ = w.controller.SetReadDeadline(deadline)
 }
 
+// enableFullDuplex leaves the caller's body to its reader when a response is sent. Otherwise the HTTP server first reads a
+// part of the rest itself, which the target would then miss. Errors are ignored because writers in tests read no body.
+func (w *callerWriter) enableFullDuplex() {
+	_ = w.controller.EnableFullDuplex()
+}
+
+// closeAfterResponse makes the HTTP server close the connection in order after the response. A reader that exceeds its limit is its
+// way to say so once the header is sent.
+func (w *callerWriter) closeAfterResponse() {
+	exceeded := http.MaxBytesReader(w.ResponseWriter, io.NopCloser(strings.NewReader("x")), 0)
+	_, _ = exceeded.Read(make([]byte, 1))
+}
+
 // clearWriteDeadline removes the write deadline, because the connection may serve another request.
 func (w *callerWriter) clearWriteDeadline() {
 	if !w.serverSetsDeadline {
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -66,6 +66,7 @@
 		return
 	}
 	x.call.report(x.report)
+	x.endUpload()
 }
 
 func (p *Plain) newExchange(w http.ResponseWriter, r *http.Request, call Call) *exchange {
@@ -162,8 +163,7 @@
 	x.writer.setReadDeadline(x.call.Deadline)
 	// Reading the body sends 100 Continue, and a caller that expects it must not get it before the target sends it.
 	if length > maxBufferedRequest || len(x.caller.Trailer) > 0 || x.header["Expect"] != nil {
-		x.route.Untimed = true
-		x.upload = newUpload(x.caller, x.plain.options.StripCredentials, x.writer.controller.SetReadDeadline)
+		x.startUpload(newUpload(x.caller, x.plain.options.StripCredentials, x.writer.controller.SetReadDeadline))
 		return nil
 	}
 	if length < 0 {
@@ -179,6 +179,21 @@
 	return nil
 }
 
+// startUpload makes the attempts send a body that is read while they run. Its duration depends on the caller.
+func (x *exchange) startUpload(u *upload) {
+	x.upload = u
+	x.route.Untimed = true
+	x.writer.enableFullDuplex()
+}
+
+// endUpload closes the caller's connection after the response if a part of the body is unread. In full-duplex mode the HTTP server may
+// take such a part for the next request.
+func (x *exchange) endUpload() {
+	if x.upload != nil && !x.uploadedWhole && !x.upload.reachedEOF.Load() {
+		x.writer.closeAfterResponse()
+	}
+}
+
 // endPrefetch ends a read of the body that is still under way.
 func (x *exchange) endPrefetch() {
 	if x.prefetch != nil {
--- a/internal/forward/prefetch.go
+++ b/internal/forward/prefetch.go
@@ -133,8 +133,7 @@
 	case err != nil:
 		return outcome.Refuse(outcome.CallerDisconnected)
 	case !whole:
-		x.route.Untimed = true
-		x.upload = newUploadWithoutTrailers(x.prefetch, x.writer.controller.SetReadDeadline)
+		x.startUpload(newUploadWithoutTrailers(x.prefetch, x.writer.controller.SetReadDeadline))
 		return nil
 	}
 	x.uploadedWhole = true
--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -33,10 +33,18 @@
 }
 
 func newRelayPair(t *testing.T, handler http.HandlerFunc) *relayPair {
-	p := &relayPair{target: httptest.NewServer(handler)}
-	t.Cleanup(p.target.Close)
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	p := newRelayPairTo(t, server.URL)
+	p.target = server
+	return p
+}
+
+// newRelayPairTo returns a pair for a target that runs already.
+func newRelayPairTo(t *testing.T, targetURL string) *relayPair {
+	p := &relayPair{}
 	other := New(Options{Limits: DefaultLimits(), Reach: reach.NewTable("b")})
-	pass := other.RelayHandler(func(url string) bool { return url == p.target.URL })
+	pass := other.RelayHandler(func(url string) bool { return url == targetURL })
 	relay := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		p.passed.Add(1)
 		if p.refusesLate.Load() {
@@ -49,8 +57,10 @@
 	t.Cleanup(relay.Close)
 	table := reach.NewTable("a")
 	table.SetPeer(reach.Peer{Name: "other", URL: relay.URL, Zone: "b"})
-	p.cut = New(Options{Limits: DefaultLimits(), Reach: table, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-		if p.isCut.Load() && address == strings.TrimPrefix(p.target.URL, "http://") {
+	options := newFakeDeps(targetURL).options()
+	options.Reach = table
+	options.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		if p.isCut.Load() && address == strings.TrimPrefix(targetURL, "http://") {
 			return nil, syscall.ECONNREFUSED
 		}
 		if p.hangs.Load() {
@@ -62,7 +72,8 @@
 			return nil, err
 		}
 		return &hangingConn{c, p}, nil
-	}})
+	}
+	p.cut = New(options)
 	t.Cleanup(func() { other.client.closeIdle(0); p.cut.client.closeIdle(0) })
 	return p
 }
