forward: an upload outlasts its response

A target that responded early and read on lost the rest of a long body: its caller had a whole 200, and the body broke off 50 ms after the end of the response. The caller's connection was closed too, while it was still sending.

Cause: net/http's transport closes the connection to a target if it still sends the body 50 ms after the end of the response, and the HTTP server ends the body when its handler returns.

Change: the connection stays open until its upload has ended, and is then closed; it serves no other request. The handler sends the whole response and waits for that. The wait ends when the caller leaves or its deadline passes, after 10 s without progress, and after 0.5 s if the caller may wait for something itself: the end of a response without a length, or the permission that its Expect header asks for. An upload that ends before its body resets the connection to the target. A response that broke, and a request that is given up, close it at once as before.

--- a/internal/forward/caller_writer.go
+++ b/internal/forward/caller_writer.go
@@ -66,6 +66,13 @@
 	return w.controller.Flush()
 }
 
+// flush sends what was written within the write timeout. It ignores errors: the HTTP server detects a disconnected caller too.
+func (w *callerWriter) flush() {
+	w.extendWriteDeadline()
+	_ = w.controller.Flush()
+	w.clearWriteDeadline()
+}
+
 // extendWriteDeadline sets the deadline of the next write. Errors are ignored because writers in tests do not
 // support deadlines.
 func (w *callerWriter) extendWriteDeadline() {
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -270,7 +270,10 @@
 // or has an unexpected status.
 func (c *client) exchange(request *http.Request, connection *conn, isReused bool) (*http.Response, *sendError) {
 	if u, ok := request.Body.(*upload); ok {
-		connection.setUpload(u)
+		sent := u.begin(request.Context())
+		connection.setTransmission(sent)
+		request = request.WithContext(request.Context())
+		request.Body = sent
 	}
 	response, err := connection.clientConn.RoundTrip(request)
 	if err != nil {
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -56,9 +56,13 @@
 	idleSince time.Time
 	// keepAlive is the timeout for idle connections that the target announced, or 0 if it announced none.
 	keepAlive time.Duration
-	// abortUpload aborts a blocked read of the caller's body. Without it, a request whose connection broke would
-	// end only after that read.
-	abortUpload func()
+	// transmission sends the body of the current request if it is an upload. If it outlasts its response, sendsOn is set and responseEnd
+	// gets whether the response was whole.
+	transmission *transmission
+	sendsOn      bool
+	responseEnd  chan bool
+	// givenUp reports that the current request is given up.
+	givenUp bool
 }
 
 // Read waits until a request is written and then reads from the network. A Read that is blocked on the network
@@ -164,7 +168,7 @@
 // the request counts as unsent, except under TLS, where a part of a record may have been sent.
 func (c *conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
-	if c.abandoned || c.unusable {
+	if c.abandoned || c.unusable && !c.sendsOn {
 		c.mu.Unlock()
 		return 0, errAbandoned
 	}
@@ -190,21 +194,87 @@
 	return n, err
 }
 
-// Close closes the connection and aborts its upload. A request without its whole response is given up: what is still under way
-// must not reach the target later.
+// Close closes the connection and aborts a blocked read of the caller's body; without that, a request whose connection broke would
+// end only after the read. An upload that outlasts its response goes on first. A request without its whole response is given up: what is
+// still under way must not reach the target later.
 func (c *conn) Close() error {
 	c.mu.Lock()
 	isAbandoned := c.requestWritten && !c.responseRead
-	abortUpload := c.abortUpload
-	c.abortUpload = nil
+	sent := c.transmission
+	c.transmission = nil
+	c.sendsOn = c.mayOutlastLocked(sent)
+	if c.sendsOn {
+		c.responseEnd = make(chan bool, 1)
+		if c.responseRead {
+			c.responseEnd <- true
+		}
+		go c.closeAfter(sent)
+	}
+	sendsOn := c.sendsOn
 	c.markUnusableLocked()
 	c.mu.Unlock()
-	if abortUpload != nil {
-		abortUpload()
+	if sendsOn {
+		return nil
+	}
+	if sent != nil {
+		sent.abortRead()
+	}
+	if isAbandoned {
+		return c.reset()
+	}
+	return c.closeInOrder()
+}
+
+// mayOutlastLocked reports whether a transmission may go on although the transport closes the connection. The transport does so 50 ms
+// after the end of a response if it still sends the body, and it does not say whether that or an error is its reason.
+func (c *conn) mayOutlastLocked(sent *transmission) bool {
+	isResponding := c.head.part == bodyPart && !c.unusable && !c.givenUp
+	return isResponding && sent != nil && sent.isSending() && sent.ctx.Err() == nil
+}
+
+const (
+	// responseEndTimeout is how long it may take to read the last bytes of a response once the transport has closed the connection.
+	responseEndTimeout = time.Second
+	// lastWriteTimeout is how long the transport may take to write what it has buffered at the end of a body.
+	lastWriteTimeout = time.Second
+)
+
+// closeAfter closes the connection after a transmission that may outlast its response.
+func (c *conn) closeAfter(sent *transmission) {
+	if !c.awaitResponseEnd() || !sent.awaitEnd() {
+		sent.abortRead()
+		_ = c.reset()
+		return
 	}
-	if !isAbandoned {
-		return c.closeInOrder()
+	time.Sleep(lastWriteTimeout)
+	_ = c.closeInOrder()
+}
+
+// awaitResponseEnd waits for the end of the response and reports whether it was whole.
+func (c *conn) awaitResponseEnd() bool {
+	timer := time.NewTimer(responseEndTimeout)
+	defer timer.Stop()
+	select {
+	case isWhole := <-c.responseEnd:
+		return isWhole
+	case <-timer.C:
+		return false
 	}
+}
+
+// endResponseLocked tells closeAfter whether the response was whole.
+func (c *conn) endResponseLocked(isWhole bool) {
+	if !c.sendsOn {
+		return
+	}
+	select {
+	case c.responseEnd <- isWhole:
+	default:
+	}
+}
+
+// reset closes the connection and drops what is under way.
+func (c *conn) reset() error {
 	if socket, ok := c.network.(lingerer); ok {
 		_ = socket.SetLinger(resetOnClose)
 	}
@@ -231,10 +301,10 @@
 	return c.Conn.Close()
 }
 
-func (c *conn) setUpload(u *upload) {
+func (c *conn) setTransmission(t *transmission) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.abortUpload = u.abortRead
+	c.transmission = t
 }
 
 // abandonUnsent gives up the current request if no part of it was written, and reports whether it did. Later
@@ -254,6 +324,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.responseRead = true
+	c.endResponseLocked(true)
 	if c.isReading {
 		_ = c.SetReadDeadline(pastDeadline)
 	}
@@ -288,7 +359,7 @@
 	c.responseRead = false
 	c.head = headCheck{}
 	c.requestWritten = false
-	c.abortUpload = nil
+	c.transmission = nil
 	c.isIdle = true
 	c.idleSince = time.Now()
 	if !c.pool.put(c) {
@@ -305,8 +376,12 @@
 	}
 }
 
-// closeClientConn closes the connection through its HTTP client; blocked reads and writes fail.
+// closeClientConn gives up the current request and closes the connection through its HTTP client; blocked reads and writes fail.
 func (c *conn) closeClientConn() {
+	c.mu.Lock()
+	c.givenUp = true
+	c.endResponseLocked(false)
+	c.mu.Unlock()
 	_ = c.clientConn.Close()
 }
 
--- a/internal/forward/early_response_test.go
+++ b/internal/forward/early_response_test.go
@@ -135,13 +135,19 @@
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 5\r\n\r\nearly")
 		})
 		caller := uploadtest.Dial(t, newFakeDeps(url).serveEntry(t, Call{}))
+		// The rest of the body looks like a request.
 		rest := []byte("POST /smuggled HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
-		request := uploadtest.Request{Path: "/x", Body: append(make([]byte, 2*uploadtest.PartSize+1), rest...), IsChunked: isChunked}
+		request := uploadtest.Request{Path: "/x", Body: make([]byte, earlyUpload), IsChunked: isChunked}
+		part := request.Body[:uploadtest.PartSize]
 		_ = caller.SendHead(request)
-		_ = caller.SendPart(request, request.Body[:len(request.Body)-len(rest)])
+		_ = caller.SendPart(request, part)
 		if got, err := caller.ReadResponse(); err != nil || got.Body != "early" {
 			t.Errorf("in chunks %t: the caller got %+v, %v", isChunked, got, err)
 		}
+		for range 3 {
+			_ = caller.SendPart(request, part)
+			time.Sleep(10 * time.Millisecond)
+		}
 		time.Sleep(2 * abortReadGrace)
 		_, _ = caller.Write(rest)
 		if got, err := caller.ReadResponse(); err == nil {
@@ -152,3 +158,100 @@
 		}
 	}
 }
+
+// Guards against an upload that is broken off when its target has responded, although the target keeps the connection and reads on, and
+// against a caller's connection that is closed although its body was read.
+func TestUploadOutlastsResponse(t *testing.T) {
+	forEachEarlyUpload(t, func(t *testing.T, target *earlyTarget, entryURL string, want uploadtest.Response, isChunked bool) {
+		caller := uploadtest.Dial(t, entryURL)
+		// The second request uses the caller's connection again.
+		for _, size := range []int{earlyUpload, 1} {
+			request := uploadtest.Request{Path: "/x", Body: uploadtest.NewBody(size), IsChunked: isChunked, Pause: 10 * time.Millisecond}
+			sent := make(chan error, 1)
+			go func() { sent <- caller.Send(request) }()
+			if got, err := caller.ReadResponse(); err != nil || got != want {
+				t.Fatalf("size %d: the caller got %d, %d bytes, %v", size, got.Status, len(got.Body), err)
+			}
+			received := <-target.bodies
+			if err := received.CheckWhole(request.Body); err != nil {
+				t.Fatalf("size %d: %v", size, err)
+			}
+			if err := <-sent; err != nil {
+				t.Fatalf("size %d: the caller sent its body, %v", size, err)
+			}
+		}
+	})
+}
+
+// Guards against an upload after the response that goes on for ever, because its caller or its target stops, and against a caller that
+// does not see the end of the response before it sends more.
+func TestStalledUploadAfterResponse(t *testing.T) {
+	const bodyBytes = 1 << 20
+	cases := earlyCases()
+	for name, c := range map[string]struct {
+		response earlyCase
+		// reads is set for a target that reads on, sends for a caller that sends on.
+		reads, sends bool
+		limit        time.Duration
+	}{
+		"caller waits for the end":   {cases["chunked"], true, false, 3 * abortReadGrace},
+		"caller stops":               {cases["short"], true, false, uploadStallTimeout + 3*abortReadGrace},
+		"target stops":               {cases["short"], false, true, uploadStallTimeout + 3*abortReadGrace},
+		"target stops, no length":    {cases["chunked"], false, true, uploadStallTimeout + 3*abortReadGrace},
+		"caller and target go on":    {cases["short"], true, true, time.Second},
+		"both go on, without length": {cases["chunked"], true, true, time.Second},
+	} {
+		runOnNetwork(t, name, []string{"http://raw"}, func(s *testNetwork) {
+			conns := make(chan net.Conn)
+			s.hosts["raw:80"] = conns
+			received := make(chan uploadtest.Received, 1)
+			go func() {
+				conn := <-conns
+				defer conn.Close()
+				r, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return
+				}
+				_, _ = io.ReadFull(r.Body, make([]byte, uploadtest.PartSize))
+				_, _ = io.WriteString(conn, c.response.raw)
+				if !c.reads {
+					time.Sleep(time.Minute)
+				}
+				_, err = io.Copy(io.Discard, r.Body)
+				received <- uploadtest.Received{Err: err}
+			}()
+			s.serve("entry", handler(s.forward, Call{}))
+			conn, err := s.dial(s.Context(), "tcp", "entry:80")
+			if err != nil {
+				s.Fatal(err)
+			}
+			defer conn.Close()
+			caller := uploadtest.NewCaller(conn)
+			request := uploadtest.Request{Path: "/x", Body: make([]byte, bodyBytes)}
+			begin := time.Now()
+			go func() {
+				_ = caller.SendHead(request)
+				_ = caller.SendPart(request, request.Body[:2*uploadtest.PartSize])
+				if c.sends {
+					_ = caller.SendPart(request, request.Body[2*uploadtest.PartSize:])
+				}
+			}()
+			if got, err := caller.ReadResponse(); err != nil || got != c.response.want {
+				s.Errorf("the caller got %+v, %v", got, err)
+			}
+			got := <-received
+			isWhole := c.reads && c.sends
+			if took := time.Since(begin); isWhole != (got.Err == nil) || c.reads && took > c.limit {
+				s.Errorf("after %v the body ended with %v", took, got.Err)
+			}
+			if !isWhole {
+				_, err := caller.Read(make([]byte, 1))
+				if took := time.Since(begin); err == nil || c.reads && took > c.limit {
+					s.Errorf("after %v the caller's connection ended with %v", took, err)
+				}
+			}
+			// The connections are closed.
+			time.Sleep(time.Minute)
+		})
+	}
+}
--- a/internal/forward/own_request.go
+++ b/internal/forward/own_request.go
@@ -26,8 +26,10 @@
 	buffer := &responseBuffer{header: http.Header{}}
 	x := p.newExchange(buffer, r, call)
 	x.isOwn = true
+	defer x.abortUpload()
 	refusal := x.serve()
 	if refusal == nil {
+		x.finishUpload()
 		return Response{Status: buffer.status, Header: buffer.header, Body: buffer.body}, x.report, nil
 	}
 	refusal = refusal.WithOutcome(x.refusalOutcome())
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -52,6 +52,8 @@
 	nextReservation target.Reservation
 	// responseStarted is called for a response that is forwarded as it arrives.
 	responseStarted func()
+	// endsWithCall reports whether the caller sees the end of the response only at the end of the call.
+	endsWithCall bool
 	// callerDisconnected reports whether a write to the caller failed.
 	callerDisconnected bool
 }
@@ -61,12 +63,13 @@
 func (p *Plain) ServePlain(w http.ResponseWriter, r *http.Request, call Call) {
 	x := p.newExchange(w, r, call)
 	defer x.endPrefetch()
+	defer x.abortUpload()
 	if refusal := x.serve(); refusal != nil {
 		x.refuse(refusal)
 		return
 	}
 	x.call.report(x.report)
-	x.endUpload()
+	x.finishUpload()
 }
 
 func (p *Plain) newExchange(w http.ResponseWriter, r *http.Request, call Call) *exchange {
@@ -186,14 +189,32 @@
 	x.writer.enableFullDuplex()
 }
 
-// endUpload closes the caller's connection after the response if a part of the body is unread. In full-duplex mode the HTTP server may
-// take such a part for the next request.
-func (x *exchange) endUpload() {
-	if x.upload != nil && !x.uploadedWhole && !x.upload.reachedEOF.Load() {
+// finishUpload waits for the end of an upload that outlasts the response. It closes the caller's connection after the response if a
+// part of the body is unread: in full-duplex mode the HTTP server may take such a part for the next request.
+func (x *exchange) finishUpload() {
+	if x.upload == nil {
+		return
+	}
+	if sent := x.upload.current.Load(); !sent.hasEnded() {
+		x.writer.flush()
+		// A caller that sent an Expect header may still wait for the permission to send its body.
+		sent.await(x.caller.Context(), x.endsWithCall || x.header["Expect"] != nil)
+	}
+	if !x.uploadedWhole && !x.upload.reachedEOF.Load() {
 		x.writer.closeAfterResponse()
 	}
 }
 
+// abortUpload aborts an upload that has not ended.
+func (x *exchange) abortUpload() {
+	if x.upload == nil {
+		return
+	}
+	if sent := x.upload.current.Load(); sent != nil {
+		sent.abort()
+	}
+}
+
 // endPrefetch ends a read of the body that is still under way.
 func (x *exchange) endPrefetch() {
 	if x.prefetch != nil {
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -172,6 +172,7 @@
 		announceTrailers(header, response.Trailer)
 	}
 	x.headerSent = true
+	x.endsWithCall = !hasLength
 	x.responseStarted()
 	x.writer.WriteHeader(response.StatusCode)
 	defer x.writer.clearWriteDeadline()
--- a/internal/forward/upload.go
+++ b/internal/forward/upload.go
@@ -20,6 +20,11 @@
 	// was closed before that.
 	reachedEOF  atomic.Bool
 	readAborted atomic.Bool
+	// received is the number of bytes read so far; isReading reports whether a read is under way.
+	received  atomic.Int64
+	isReading atomic.Bool
+	// current is the transmission that was begun last.
+	current atomic.Pointer[transmission]
 	// setReadDeadline sets the deadline for reads of the body.
 	setReadDeadline func(time.Time) error
 	// request is the caller's request, whose trailers are known at the end of the body.
@@ -56,7 +61,10 @@
 // Read reads the caller's body and copies the trailers at its end.
 func (u *upload) Read(p []byte) (int, error) {
 	u.readStarted.Store(true)
+	u.isReading.Store(true)
 	n, err := u.body.Read(p)
+	u.isReading.Store(false)
+	u.received.Add(int64(n))
 	switch {
 	case err == nil:
 	case errors.Is(err, io.EOF):
--- a/internal/uploadtest/uploadtest.go
+++ b/internal/uploadtest/uploadtest.go
@@ -4,6 +4,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -17,8 +18,8 @@
 // PartSize is the size in bytes of the parts that a body is sent in.
 const PartSize = 8 << 10
 
-// partPause is the time between two parts.
-const partPause = time.Millisecond
+// shortPause is the time between two parts of a body unless the request says otherwise.
+const shortPause = time.Millisecond
 
 // NewBody returns a body of which no two parts are the same.
 func NewBody(size int) []byte {
@@ -37,6 +38,8 @@
 	Body   []byte
 	// IsChunked is set for a body without a stated length.
 	IsChunked bool
+	// Pause is the time between two parts of the body; 0 means a short one.
+	Pause time.Duration
 }
 
 // Response is a response that was read to its end.
@@ -60,9 +63,12 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { c.Close() })
-	return &Caller{c, bufio.NewReader(c)}
+	return NewCaller(c)
 }
 
+// NewCaller returns a caller on an open connection.
+func NewCaller(c net.Conn) *Caller { return &Caller{c, bufio.NewReader(c)} }
+
 // Send sends a request, its body in parts with pauses.
 func (c *Caller) Send(r Request) error {
 	if err := c.SendHead(r); err != nil {
@@ -74,7 +80,7 @@
 		if err := c.SendPart(r, part); err != nil {
 			return err
 		}
-		time.Sleep(partPause)
+		time.Sleep(cmp.Or(r.Pause, shortPause))
 	}
 	return c.SendEnd(r)
 }
@@ -137,5 +143,13 @@
 	for same < min(len(sent), len(r.Data)) && sent[same] == r.Data[same] {
 		same++
 	}
-	return fmt.Errorf("the target got %d bytes of %d, other ones from byte %d on, and %v", len(r.Data), len(sent), same, r.Err)
+	return fmt.Errorf("the target got %d bytes of %d, other ones from byte %d on, and the error %s", len(r.Data), len(sent), same, fmt.Sprint(r.Err))
+}
+
+// CheckWhole returns an error if the target did not get the whole body, or other bytes.
+func (r Received) CheckWhole(sent []byte) error {
+	if err := r.Check(sent); err != nil || r.Err == nil {
+		return err
+	}
+	return fmt.Errorf("the body broke off after %d bytes of %d: %w", len(r.Data), len(sent), r.Err)
 }
