forward: one attempt at a time reads the body of an upload

A target got a body with a part of it missing, with other bytes from there on, when the attempt before had been given up; and an upload whose first attempt sent nothing of it broke off with 502 half a second later.

Cause: all attempts share the caller's body. The transport writes the head first and then reads the body. If a target responds to the head that it has not run the request, the next attempt begins to read the body, and the first one still reads a part of it before it finds its connection closed. The end of an attempt also limited reads of the body to 500 ms, whoever reads it. Same class as the fault of an early response: two readers of one body.

Change: a transmission reads the body only while it is the current one. The next one can begin only if nothing was read, decided under the same lock, and takes the right to read away from the one before. The end of a transmission limits only its own reads. A body that was read whole before it is sent never limits reads of the caller's connection.

--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -270,7 +270,11 @@
 // or has an unexpected status.
 func (c *client) exchange(request *http.Request, connection *conn, isReused bool) (*http.Response, *sendError) {
 	if u, ok := request.Body.(*upload); ok {
-		sent := u.begin(request.Context())
+		sent, err := u.begin(request.Context())
+		if err != nil {
+			connection.closeClientConn()
+			return nil, &sendError{stage: stageUnsent, cause: err, reusedConn: isReused}
+		}
 		connection.setTransmission(sent)
 		request = request.WithContext(request.Context())
 		request.Body = sent
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -195,7 +195,7 @@
 	if x.upload == nil {
 		return
 	}
-	if sent := x.upload.current.Load(); !sent.hasEnded() {
+	if sent := x.upload.currentTransmission(); sent != nil && !sent.hasEnded() {
 		x.writer.flush()
 		// A caller that sent an Expect header may still wait for the permission to send its body.
 		sent.await(x.caller.Context(), x.endsWithCall || x.header["Expect"] != nil)
@@ -205,13 +205,10 @@
 	}
 }
 
-// abortUpload aborts an upload that has not ended.
+// abortUpload ends an upload that has not ended.
 func (x *exchange) abortUpload() {
-	if x.upload == nil {
-		return
-	}
-	if sent := x.upload.current.Load(); sent != nil {
-		sent.abort()
+	if x.upload != nil {
+		x.upload.abort()
 	}
 }
 
@@ -317,7 +314,7 @@
 		return final
 	case x.mayHaveRun && !x.call.Idempotent:
 		return final
-	case x.upload != nil && x.upload.readStarted.Load():
+	case x.upload != nil && x.upload.isUsed():
 		return final
 	case x.report.Attempts >= x.maxAttempts():
 		return final
--- a/internal/forward/prefetch.go
+++ b/internal/forward/prefetch.go
@@ -138,6 +138,7 @@
 	}
 	x.uploadedWhole = true
 	x.uploaded = body
-	x.upload = newUploadWithoutTrailers(bytes.NewReader(body), x.writer.controller.SetReadDeadline)
+	// Its reads do not wait for the caller, whose connection is watched by a read of the HTTP server now.
+	x.upload = newUploadWithoutTrailers(bytes.NewReader(body), func(time.Time) error { return nil })
 	return nil
 }
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -203,7 +203,7 @@
 // isBodyUsed reports whether a part of a streamed body was read, so that it cannot be sent again.
 func isBodyUsed(request *http.Request) bool {
 	body, ok := request.Body.(*upload)
-	return ok && body.readStarted.Load()
+	return ok && body.isUsed()
 }
 
 // closeIdleTo closes the idle connections to a URL.
--- a/internal/forward/transmission.go
+++ b/internal/forward/transmission.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 )
 
+var errTransmissionEnded = errors.New("the body is sent to another target or not at all")
+
 // transmission is the sending of an upload over one connection. It may outlast the response: a target may respond before it has read
 // the whole body, and read on.
 type transmission struct {
@@ -17,15 +20,16 @@
 	endOnce sync.Once
 }
 
-// begin returns a new transmission of the upload.
-func (u *upload) begin(ctx context.Context) *transmission {
-	t := &transmission{upload: u, ctx: ctx, ended: make(chan struct{})}
-	if previous := u.current.Swap(t); previous != nil {
-		previous.end()
+// Read reads the body while the transmission is the current one.
+func (t *transmission) Read(p []byte) (int, error) {
+	if !t.startRead(t) {
+		return 0, errTransmissionEnded
 	}
-	return t
+	return t.upload.Read(p)
 }
 
+func (t *transmission) abortRead() { t.upload.abortRead(t) }
+
 func (t *transmission) end() { t.endOnce.Do(func() { close(t.ended) }) }
 
 // Close ends the transmission. The transport calls it after the body, or when sending has failed.
