forward: the end of a call leaves its upload

Found on reading the code again, not seen in a run: the call's context ends with the response, and if the transport's goroutine closes the connection after that, an upload that outlasts its response was given up like that of a cancelled request. A context that has ended now counts only before the whole response was read.

TestUploadOutlastsItsCall failed before in the case of a whole response and passes; all tests of the package pass twice under the race detector.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -229,7 +229,11 @@
 // after the end of a response if it still sends the body, and it does not say whether that or an error is its reason.
 func (c *conn) mayOutlastLocked(sent *transmission) bool {
 	isResponding := c.head.part == bodyPart && !c.unusable && !c.givenUp
-	return isResponding && sent != nil && sent.isSending() && sent.ctx.Err() == nil
+	if !isResponding || sent == nil || !sent.isSending() {
+		return false
+	}
+	// The context also ends after a whole response.
+	return c.responseRead || sent.ctx.Err() == nil
 }
 
 const (
--- a/internal/forward/early_response_test.go
+++ b/internal/forward/early_response_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -255,3 +256,20 @@
 		})
 	}
 }
+
+// Guards against an upload that is broken off because the call has ended, and with it its context, before the transport closes the
+// connection.
+func TestUploadOutlastsItsCall(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	sent, err := newUploadWithoutTrailers(strings.NewReader("body"), func(time.Time) error { return nil }).begin(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	for _, isWhole := range []bool{false, true} {
+		c := &conn{responseRead: isWhole, head: headCheck{part: bodyPart}}
+		if got := c.mayOutlastLocked(sent); got != isWhole {
+			t.Errorf("whole response %t: the upload may go on: %t", isWhole, got)
+		}
+	}
+}
