tests: connections are idle before their instance hangs

Cause: a connection returns to the pool a moment after its response, and the instance began to hang before that, so the request found no open connection.

--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -30,6 +30,19 @@
 	hangs atomic.Bool
 	// passed counts requests that reached the other instance.
 	passed atomic.Int64
+	// peerURL is the URL of the other instance.
+	peerURL string
+}
+
+// idleToPeer returns the number of idle connections to the other instance.
+func (p *relayPair) idleToPeer() int {
+	pool, err := p.cut.client.pool(p.peerURL)
+	if err != nil {
+		return 0
+	}
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	return len(pool.conns)
 }
 
 func newRelayPair(t *testing.T, handler http.HandlerFunc) *relayPair {
@@ -55,6 +68,7 @@
 		pass.ServeHTTP(w, r)
 	}))
 	t.Cleanup(relay.Close)
+	p.peerURL = relay.URL
 	table := reach.NewTable("a")
 	table.SetPeer(reach.Peer{Name: "other", URL: relay.URL, Zone: "b"})
 	options := newFakeDeps(targetURL).options()
@@ -238,6 +252,10 @@
 	}
 	close(release)
 	responses.Wait()
+	// A connection returns to the pool a moment after its response.
+	for p.idleToPeer() < 3 {
+		time.Sleep(time.Millisecond)
+	}
 	p.hangs.Store(true)
 	for n, wantUnsent := range []bool{false, true} {
 		ctx, cancel := context.WithTimeout(t.Context(), 2*reach.SilentAfter)
