forward: count uploads that go on after their response

A body that breaks off after the response left no trace: the caller has a whole response, and only the target sees the end. The counter egretspar_late_uploads_total tells bodies that were sent whole from those that broke off.

--- a/internal/forward/early_response_test.go
+++ b/internal/forward/early_response_test.go
@@ -206,6 +206,8 @@
 			conns := make(chan net.Conn)
 			s.hosts["raw:80"] = conns
 			received := make(chan uploadtest.Received, 1)
+			ends := make(chan UploadEnd, 1)
+			s.forward.Plain.options.ObserveLateUpload = func(end UploadEnd) { ends <- end }
 			go func() {
 				conn := <-conns
 				defer conn.Close()
@@ -234,6 +236,8 @@
 				_ = caller.SendHead(request)
 				_ = caller.SendPart(request, request.Body[:2*uploadtest.PartSize])
 				if c.sends {
+					// The transport gives up a connection whose upload goes on for longer than 50 ms.
+					time.Sleep(200 * time.Millisecond)
 					_ = caller.SendPart(request, request.Body[2*uploadtest.PartSize:])
 				}
 			}()
@@ -251,6 +255,9 @@
 					s.Errorf("after %v the caller's connection ended with %v", took, err)
 				}
 			}
+			if end := <-ends; isWhole != (end == UploadWhole) {
+				s.Errorf("the upload counts as %s", end)
+			}
 			// The connections are closed.
 			time.Sleep(time.Minute)
 		})
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -144,6 +144,8 @@
 	Reach *reach.Table
 	// ObserveRelay counts requests that pass through another instance ("out") or come from one ("in"), by result. It may be nil.
 	ObserveRelay func(direction, result string)
+	// ObserveLateUpload counts uploads that go on after their response, by how they end. It may be nil.
+	ObserveLateUpload func(UploadEnd)
 	// TLS is used for targets with https URLs; nil means the root certificates of the system.
 	TLS *tls.Config
 	// DialContext replaces the network in tests.
--- a/internal/forward/request_body.go
+++ b/internal/forward/request_body.go
@@ -55,12 +55,24 @@
 		x.writer.flush()
 		// A caller that sent an Expect header may still wait for the permission to send its body.
 		sent.await(x.caller.Context(), x.endsWithCall || x.header["Expect"] != nil)
+		x.observeLateUpload()
 	}
 	if !x.uploadedWhole && !x.upload.reachedEOF.Load() {
 		x.writer.closeAfterResponse()
 	}
 }
 
+func (x *exchange) observeLateUpload() {
+	observe := x.plain.options.ObserveLateUpload
+	switch {
+	case observe == nil:
+	case x.upload.reachedEOF.Load():
+		observe(UploadWhole)
+	default:
+		observe(UploadBroken)
+	}
+}
+
 // abortUpload ends an upload that has not ended.
 func (x *exchange) abortUpload() {
 	if x.upload != nil {
--- a/internal/forward/transmission.go
+++ b/internal/forward/transmission.go
@@ -64,6 +64,16 @@
 	}
 }
 
+// UploadEnd says how an upload ended that went on after its response.
+type UploadEnd string
+
+const (
+	// UploadWhole means that the whole body was sent.
+	UploadWhole UploadEnd = "whole"
+	// UploadBroken means that the target did not get the whole body, although the caller has a whole response.
+	UploadBroken UploadEnd = "broken_off"
+)
+
 // uploadStallTimeout is how long an upload may go on after the response without progress.
 const uploadStallTimeout = 10 * time.Second
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -175,11 +175,12 @@
 	n.limits = targetlimit.NewTable(n.self.ID)
 	picker := &limitedPicker{limits: n.limits, next: &guardedPicker{router: n.router, guard: n.guard, budget: budget}}
 	n.forwarder = forward.New(forward.Options{
-		Picker:           picker,
-		Budget:           retryBudget{budget},
-		Counter:          n.metrics,
-		StripCredentials: n.stripHeader,
-		Limits:           forward.DefaultLimits(),
+		Picker:            picker,
+		Budget:            retryBudget{budget},
+		Counter:           n.metrics,
+		StripCredentials:  n.stripHeader,
+		Limits:            forward.DefaultLimits(),
+		ObserveLateUpload: func(end forward.UploadEnd) { n.metrics.CountLateUpload(string(end)) },
 		Dialect: forward.Dialect{ObserveResponse: func(request *http.Request, response *http.Response, sentAt time.Time) {
 			n.observeLimit(request.URL.Scheme+"://"+request.URL.Host, response.Header, sentAt)
 		}},
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -28,6 +28,7 @@
 	// rewardAttempts and rewardTime describe reward calls.
 	rewardAttempts metric.Int64Counter
 	relayed        metric.Int64Counter
+	lateUploads    metric.Int64Counter
 	rewardTime     metric.Float64Histogram
 	// The attribute sets are built once, because building one for each request would allocate.
 	refusalOptions map[outcome.Reason]metric.AddOption
@@ -51,7 +52,7 @@
 }
 
 func (m *Metrics) createInstruments() error {
-	var errs [8]error
+	var errs [9]error
 	m.refusals, errs[0] = m.meter.Int64Counter("egretspar.refusals", metric.WithDescription("Refused requests by reason."))
 	m.retries, errs[1] = m.meter.Int64Counter("egretspar.retries", metric.WithDescription("Repeated attempts by reason."))
 	m.requests, errs[2] = m.meter.Int64Counter("egretspar.requests", metric.WithDescription("Finished requests by service, team and outcome."))
@@ -67,6 +68,8 @@
 		metric.WithExplicitBucketBoundaries(0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 4, 8))
 	m.relayed, errs[7] = m.meter.Int64Counter("egretspar.relayed",
 		metric.WithDescription("Requests to targets that went through another instance (out) or came from one (in), by result."))
+	m.lateUploads, errs[8] = m.meter.Int64Counter("egretspar.late.uploads",
+		metric.WithDescription("Request bodies that were still being sent after the response, by how they ended."))
 	for _, err := range errs {
 		if err != nil {
 			return errors.WithStack(err)
@@ -108,6 +111,11 @@
 	m.relayed.Add(context.Background(), 1, metric.WithAttributes(attribute.String("direction", direction), attribute.String("result", result)))
 }
 
+// CountLateUpload counts the body of a request that was still being sent after the response, by how it ended.
+func (m *Metrics) CountLateUpload(end string) {
+	m.lateUploads.Add(context.Background(), 1, metric.WithAttributes(attribute.String("end", end)))
+}
+
 // RequestLabels are the labels of the request counter.
 type RequestLabels struct {
 	Service string
