tests: the held write ends once the next attempt reads

Cause: the test let the first attempt go on after 125 ms, and in that run the retry came later than that, so the first attempt had read a part of the body, after which no other may follow; the refusal was right. Now the first attempt goes on when the next target has a part of the body.

--- a/internal/forward/retried_upload_test.go
+++ b/internal/forward/retried_upload_test.go
@@ -48,12 +48,15 @@
 	return "http://" + l.Addr().String()
 }
 
-// startReadingTarget returns the URL of a target that reads requests to their end.
-func startReadingTarget(t *testing.T) (string, chan uploadtest.Received) {
+// startReadingTarget returns the URL of a target that reads requests to their end. It calls begun when it has a part of a body.
+func startReadingTarget(t *testing.T, begun func()) (string, chan uploadtest.Received) {
 	bodies := make(chan uploadtest.Received, 1)
 	return serve(t, func(_ http.ResponseWriter, r *http.Request) {
-		body, err := io.ReadAll(r.Body)
-		bodies <- uploadtest.Received{Data: body, Err: err}
+		first := make([]byte, 1)
+		n, _ := io.ReadFull(r.Body, first)
+		begun()
+		rest, err := io.ReadAll(r.Body)
+		bodies <- uploadtest.Received{Data: append(first[:n], rest...), Err: err}
 	}), bodies
 }
 
@@ -95,16 +98,15 @@
 // Guards against an attempt that takes a part of a body from the one after it: its target reported that it has not run the request while
 // the attempt still wrote the head, before it read the body.
 func TestAbandonedAttemptLeavesBodyToNext(t *testing.T) {
-	target, bodies := startReadingTarget(t)
 	first := &heldConn{release: make(chan struct{})}
+	target, bodies := startReadingTarget(t, func() { close(first.release) })
 	url := serveRetried(t, first, startRefusingTarget(t), target)
-	time.AfterFunc(abortReadGrace/4, func() { close(first.release) })
 	sendRetried(t, url, abortReadGrace/50, bodies)
 }
 
 // Guards against a body that breaks off 500 ms after an attempt that sent nothing of it: the end of that attempt limited the reads of the
 // next one.
 func TestFailedAttemptDoesNotLimitNext(t *testing.T) {
-	target, bodies := startReadingTarget(t)
+	target, bodies := startReadingTarget(t, func() {})
 	sendRetried(t, serveRetried(t, &heldConn{fails: true}, target), abortReadGrace/10, bodies)
 }
